--- a/filberthollow/agent/agent_process.cc
+++ b/filberthollow/agent/agent_process.cc
@@ -69,7 +69,7 @@
   base::Log(Level::kInfo, "stopping");
   registry.Post(kAnnouncerService, AnnouncerMessage(AnnounceDraining{}));
   registry.Post(kFlowsService, FlowsMessage(DrainFlows{}));
-  if (kernel::WaitForWakeup(-1) == kernel::Wakeup::kStopSignal) {
+  if (kernel::WaitForStop() == kernel::Wakeup::kStopSignal) {
     base::Log(Level::kWarning, "stopped_at_once");
   }
   registry.Post(kAnnouncerService, AnnouncerMessage(AnnounceLeft{}));
@@ -120,7 +120,7 @@
              {"admin", admin_address->Text()}});
   kernel.Start();
   // A superseded agent drains by itself and then wakes this thread.
-  kernel::WaitForWakeup(-1);
+  kernel::WaitForStop();
   DrainAgent(registry);
   kernel.Stop();
   base::Log(Level::kInfo, "stopped");
--- a/filberthollow/balancer/balancer_process.cc
+++ b/filberthollow/balancer/balancer_process.cc
@@ -10,6 +10,7 @@
 #include "filberthollow/config/fleet_config_task.h"
 #include "filberthollow/daemon/daemon.h"
 #include "filberthollow/net/tcp_listener.h"
+#include "filberthollow/platform/http_object_store.h"
 
 namespace filberthollow::balancer {
 namespace {
@@ -112,8 +113,16 @@
   kernel.Add(
       std::make_unique<PeersTask>(registry, control->listener, file.join_key));
   kernel.Add(std::make_unique<config::FleetConfigTask>(
-      clock, registry, file.platform, entry, Listeners(registry),
-      std::random_device{}()));
+      clock, registry,
+      config::FleetConfigOptions{
+          .store =
+              [&file](net::HttpClient& client) {
+                return std::make_unique<platform::HttpObjectStore>(
+                    client, file.platform);
+              },
+          .entry = entry,
+          .seed = std::random_device{}()},
+      Listeners(registry)));
   kernel.Add(std::move(admin));
   base::Log(Level::kInfo, "listening",
             {{"role", "balancer"},
@@ -124,7 +133,7 @@
              {"admin", admin_address->Text()}});
   kernel.Start();
   registry.Post(kMembersService, MembersMessage(PeersFound{file.peers}));
-  kernel::WaitForWakeup(-1);
+  kernel::WaitForStop();
   DrainBalancer(registry);
   kernel.Stop();
   base::Log(Level::kInfo, "stopped");
--- a/filberthollow/config/agent_config_task.h
+++ b/filberthollow/config/agent_config_task.h
@@ -5,6 +5,7 @@
 #define FILBERTHOLLOW_CONFIG_AGENT_CONFIG_TASK_H_
 
 #include "filberthollow/config/fleet_config_task.h"
+#include "filberthollow/platform/http_object_store.h"
 
 namespace filberthollow::config {
 
--- a/filberthollow/config/config.cc
+++ b/filberthollow/config/config.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 #include <string_view>
 
 #include "filberthollow/settings/json_reader.h"
@@ -131,7 +132,7 @@
 
 base::Result<base::Done> ConfigState::ApplyOne(
     const platform::StoredObject& object,
-    settings::Tree& tree,
+    settings::Snapshot& snapshot,
     ConfigChange& change) {
   if (object.name == platform::kKeysObject) {
     auto keys = ParseKeys(object.value.value_or(""), base::WallMillis());
@@ -142,14 +143,25 @@
     change.keys = true;
     return base::Done{};
   }
+  if (object.name == platform::kSnapshotObject) {
+    auto parsed = settings::ParseSnapshot(object.value.value_or("{}"),
+                                          object.name);
+    if (!parsed) {
+      return parsed.error();
+    }
+    snapshot = std::move(*parsed);
+    change.tree = true;
+    return base::Done{};
+  }
   if (object.name == platform::kRootObject) {
     change.tree = true;
-    return ApplyRoot(object, tree);
+    return ApplyRoot(object, snapshot.tree);
   }
   std::string_view prefix = platform::kServicePrefix;
   if (object.name.starts_with(prefix)) {
     change.tree = true;
-    return ApplyService(object, object.name.substr(prefix.size()), tree);
+    return ApplyService(object, object.name.substr(prefix.size()),
+                        snapshot.tree);
   }
   return base::Done{};  // an object of a newer release
 }
@@ -163,14 +175,15 @@
 ConfigChange ConfigState::Apply(
     const std::vector<platform::StoredObject>& objects) {
   ConfigChange change;
-  settings::Tree tree = m_tree->tree;
+  settings::Snapshot snapshot{m_tree->tree, m_tree->routes,
+                              m_tree->health_paths};
   for (const platform::StoredObject& object : objects) {
     auto held = m_objects.find(object.name);
     if (held != m_objects.end() && held->second.version >= object.version) {
       continue;
     }
     m_objects[object.name] = object;
-    if (auto applied = ApplyOne(object, tree, change); !applied) {
+    if (auto applied = ApplyOne(object, snapshot, change); !applied) {
       change.refused.push_back(applied.error());
     }
   }
@@ -183,9 +196,25 @@
   change.tree = change.tree || newest != m_tree->revision;
   if (change.tree) {
     m_tree = std::make_shared<const TreeVersion>(
-        TreeVersion{newest, std::move(tree)});
+        TreeVersion{newest, std::move(snapshot.tree),
+                    std::move(snapshot.routes),
+                    std::move(snapshot.health_paths)});
   }
   return change;
 }
 
+ConfigChange ConfigState::ApplyAll(std::vector<platform::StoredObject> objects,
+                                   uint64_t revision) {
+  std::set<std::string> present;
+  for (const platform::StoredObject& object : objects) {
+    present.insert(object.name);
+  }
+  for (const auto& [name, held] : m_objects) {
+    if (held.value && held.version < revision && !present.contains(name)) {
+      objects.push_back({.name = name, .version = revision});
+    }
+  }
+  return Apply(objects);
+}
+
 }  // namespace filberthollow::config
--- a/filberthollow/config/config.h
+++ b/filberthollow/config/config.h
@@ -21,14 +21,18 @@
 #include "filberthollow/base/error.h"
 #include "filberthollow/flow/token.h"
 #include "filberthollow/platform/object_store.h"
+#include "filberthollow/settings/routes.h"
 #include "filberthollow/settings/tree.h"
 
 namespace filberthollow::config {
 
-// TreeVersion is an immutable tree and the revision that it stands for.
+// TreeVersion is an immutable tree, the routes and the revision that both
+// stand for.
 struct TreeVersion {
   uint64_t revision = 0;
   settings::Tree tree;
+  std::vector<settings::Route> routes;
+  std::map<std::string, std::string> health_paths;  // by service
   friend bool operator==(const TreeVersion&, const TreeVersion&) = default;
 };
 
@@ -58,6 +62,10 @@
   // Apply takes every object that changed up to some point. The revision in
   // force becomes the highest version among the objects of the tree.
   ConfigChange Apply(const std::vector<platform::StoredObject>& objects);
+  // ApplyAll takes every object that there was at `revision`: those held that
+  // are not among them have been deleted since.
+  ConfigChange ApplyAll(std::vector<platform::StoredObject> objects,
+                        uint64_t revision);
   // ActivateKeys brings the keys up to the calendar time; returns whether the
   // signing key changed.
   bool ActivateKeys(base::Millis wall_now);
@@ -72,7 +80,7 @@
 
  private:
   base::Result<base::Done> ApplyOne(const platform::StoredObject& object,
-                                    settings::Tree& tree,
+                                    settings::Snapshot& snapshot,
                                     ConfigChange& change);
 
   TreePtr m_tree = std::make_shared<const TreeVersion>();
--- a/filberthollow/config/fleet_config_task.cc
+++ b/filberthollow/config/fleet_config_task.cc
@@ -12,21 +12,23 @@
 
 FleetConfigTask::FleetConfigTask(const base::Clock& clock,
                                  kernel::Registry& registry,
-                                 base::Address platform,
-                                 BootstrapEntry entry,
-                                 ConfigListeners listeners,
-                                 uint64_t seed)
+                                 FleetConfigOptions options,
+                                 ConfigListeners listeners)
     : LoopTask(clock, registry, kConfigService),
       m_client(loop()),
-      m_store(m_client, platform),
-      m_entry(std::move(entry)),
+      m_options(std::move(options)),
+      m_store(m_options.store(m_client)),
       m_listeners(std::move(listeners)),
-      m_watch_backoff(kFirstRetry, kLongestRetry, seed),
-      m_register_backoff(kFirstRetry, kLongestRetry, seed + 1) {}
+      m_watch_backoff(kFirstRetry, kLongestRetry, m_options.seed),
+      m_register_backoff(kFirstRetry, kLongestRetry, m_options.seed + 1) {}
 
 void FleetConfigTask::OnStart() {
-  Watch(base::Millis(0));
-  Register(0);
+  if (m_options.watches) {
+    Watch(base::Millis(0));
+  }
+  if (m_options.entry) {
+    Register(0);
+  }
 }
 
 void FleetConfigTask::OnMessage(const ConfigMessage& message) {
@@ -39,7 +41,7 @@
   }
   // The watch mostly brings the change within moments.
   m_behind = true;
-  loop().After(kBehindPatience, [this, m] {
+  loop().After(m_options.behind_patience, [this, m] {
     m_behind = false;
     if (m.revision > m_state.revision()) {
       m_metrics.Add("config_behind_peer");
@@ -48,9 +50,15 @@
   });
 }
 
+void FleetConfigTask::Handle(const BalancersWanted& /*m*/) {
+  if (!m_listing) {
+    ListPeers();
+  }
+}
+
 void FleetConfigTask::Handle(const ObjectsFound& m) {
   m_metrics.Add("config_from_peer");
-  Apply(m.objects);
+  Publish(m_state.Apply(m.objects));
 }
 
 void FleetConfigTask::Handle(const admin::ReportQuery& m) {
@@ -63,7 +71,7 @@
 
 void FleetConfigTask::Watch(base::Millis wait) {
   m_metrics.Add("platform_watches");
-  m_store.Watch({platform::kConfigPrefix, m_watched_to, wait},
+  m_store->Watch({platform::kConfigPrefix, m_watched_to, wait},
                 [this](const auto& answer) { OnWatched(answer); });
 }
 
@@ -78,13 +86,13 @@
   SetReachable(true, "");
   m_watch_backoff.Reset();
   m_watched_to = std::max(m_watched_to, answer->revision);
-  Apply(answer->objects);
+  Publish(answer->complete
+              ? m_state.ApplyAll(answer->objects, answer->revision)
+              : m_state.Apply(answer->objects));
   Watch(kWatchWait);
 }
 
-void FleetConfigTask::Apply(
-    const std::vector<platform::StoredObject>& objects) {
-  ConfigChange change = m_state.Apply(objects);
+void FleetConfigTask::Publish(const ConfigChange& change) {
   for (const base::Error& error : change.refused) {
     m_metrics.Add("config_refused");
     base::Log(Level::kError, "config_refused", {{"error", error.Text()}});
@@ -121,12 +129,12 @@
 
 void FleetConfigTask::Register(uint64_t if_version) {
   m_metrics.Add("platform_writes");
-  std::string object = platform::kBootstrapPrefix + m_entry.name;
+  std::string object = platform::kBootstrapPrefix + m_options.entry->name;
   auto retry = [this](uint64_t version) {
     loop().After(m_register_backoff.Next(),
                  [this, version] { Register(version); });
   };
-  m_store.Write(object, if_version, BootstrapText(m_entry),
+  m_store->Write(object, if_version, BootstrapText(*m_options.entry),
                 [this, retry, if_version](const auto& answer) {
                   if (answer && answer->kind == WriteAnswer::kWritten) {
                     ListPeers();
@@ -142,10 +150,13 @@
 
 void FleetConfigTask::ListPeers() {
   m_metrics.Add("platform_reads");
-  m_store.Watch(
+  m_listing = true;
+  m_store->Watch(
       {platform::kBootstrapPrefix, 0, base::Millis(0)},
       [this](const auto& answer) {
+        m_listing = false;
         if (!answer) {
+          m_listing = true;
           loop().After(m_register_backoff.Next(), [this] { ListPeers(); });
           return;
         }
--- a/filberthollow/config/fleet_config_task.h
+++ b/filberthollow/config/fleet_config_task.h
@@ -1,6 +1,6 @@
-// The config service of a balancer: it watches the configuration at the
-// platform, keeps the newest, and enters this balancer into the list of
-// bootstrap addresses.
+// The config service of a process: it watches the configuration at the
+// platform, keeps the newest, and enters a balancer into the list of bootstrap
+// addresses. One that does not watch learns the configuration from peers.
 //
 // While the platform is down, what is in force stays in force. Calls are made
 // again with jittered backoff.
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,7 @@
 #include "filberthollow/metrics/metrics.h"
 #include "filberthollow/net/http_client.h"
 #include "filberthollow/net/loop_task.h"
-#include "filberthollow/platform/http_object_store.h"
+#include "filberthollow/platform/object_store.h"
 
 namespace filberthollow::config {
 
@@ -34,21 +35,28 @@
   std::function<void(base::Address)> on_behind;
 };
 
+// StoreFactory creates the store on the task's HTTP client.
+using StoreFactory =
+    std::function<std::unique_ptr<platform::ObjectStore>(net::HttpClient&)>;
+
+struct FleetConfigOptions {
+  StoreFactory store;
+  std::optional<BootstrapEntry> entry;  // of a balancer
+  bool watches = true;
+  // How long a peer may be ahead before it is asked.
+  base::Millis behind_patience{1500};
+  uint64_t seed = 0;  // spreads the retries
+};
+
 class FleetConfigTask final : public net::LoopTask<ConfigMessage> {
  public:
   static constexpr base::Millis kWatchWait{30'000};
   static constexpr base::Millis kFirstRetry{500};
   static constexpr base::Millis kLongestRetry{10'000};
-  // kBehindPatience is how long a peer may be ahead before it is asked.
-  static constexpr base::Millis kBehindPatience{1500};
-
-  // `entry` is this balancer's bootstrap entry; `seed` spreads the retries.
   FleetConfigTask(const base::Clock& clock,
                   kernel::Registry& registry,
-                  base::Address platform,
-                  BootstrapEntry entry,
-                  ConfigListeners listeners,
-                  uint64_t seed);
+                  FleetConfigOptions options,
+                  ConfigListeners listeners);
 
  protected:
   void OnStart() override;
@@ -57,13 +65,13 @@
  private:
   void Handle(const NewerRevision& m);
   void Handle(const NewerKeys& /*m*/) {}
-  void Handle(const BalancersWanted& /*m*/) {}
+  void Handle(const BalancersWanted& m);
   void Handle(const ObjectsFound& m);
   void Handle(const admin::ReportQuery& m);
 
   void Watch(base::Millis wait);
   void OnWatched(const base::Result<platform::WatchAnswer>& answer);
-  void Apply(const std::vector<platform::StoredObject>& objects);
+  void Publish(const ConfigChange& change);
   // Publishes the keys again when the next one becomes active.
   void PublishKeys();
   void Register(uint64_t if_version);
@@ -71,15 +79,16 @@
   void SetReachable(bool reachable, const std::string& why);
 
   net::HttpClient m_client;
-  platform::HttpObjectStore m_store;
-  const BootstrapEntry m_entry;
+  const FleetConfigOptions m_options;
+  const std::unique_ptr<platform::ObjectStore> m_store;
   const ConfigListeners m_listeners;
   Backoff m_watch_backoff;
   Backoff m_register_backoff;
   ConfigState m_state;
   uint64_t m_watched_to = 0;  // revision up to which the watch has told all
   bool m_reachable = true;
-  bool m_behind = false;  // a check is due
+  bool m_behind = false;   // a check is due
+  bool m_listing = false;  // the bootstrap addresses are being read
   metrics::Metrics m_metrics;
 };
 
--- /dev/null
+++ b/filberthollow/decision/flow_router.cc
@@ -0,0 +1,360 @@
+#include "filberthollow/decision/flow_router.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filberthollow::decision {
+namespace {
+
+using flow::FlowEnds;
+using flow::PacketHead;
+using flow::Reason;
+
+constexpr base::Millis kSweepInterval{1000};
+
+}  // namespace
+
+FlowRouter::FlowRouter(uint64_t data_centre, base::Millis now)
+    : m_data_centre(data_centre), m_started(now), m_last_tick(now) {}
+
+bool FlowRouter::IsSilent(const Agent& agent, base::Millis now) const {
+  base::Millis patience =
+      std::max(kMinSilence, agent.report.interval * kMissedReports);
+  return now - agent.heard_at > patience;
+}
+
+bool FlowRouter::TakesFlows(const Agent& agent, base::Millis now) const {
+  return agent.report.state == UpstreamState::kReady &&
+         !agent.report.silent && !agent.no_answer && !IsSilent(agent, now);
+}
+
+bool FlowRouter::IsReady(base::Millis now) const {
+  return m_routes->revision() > 0 &&
+         std::any_of(m_agents.begin(), m_agents.end(), [&](const auto& entry) {
+           return !IsSilent(entry.second, now);
+         });
+}
+
+std::vector<base::Address> FlowRouter::Agents() const {
+  std::vector<base::Address> agents;
+  for (const auto& [address, agent] : m_agents) {
+    agents.push_back(address);
+  }
+  return agents;
+}
+
+void FlowRouter::OnReport(const UpstreamReport& report,
+                          base::Address agent,
+                          base::Millis now) {
+  m_agents[agent] = Agent{.report = report, .heard_at = now};
+}
+
+void FlowRouter::OnCallerPacket(std::string_view packet,
+                                const PacketHead& head,
+                                base::Millis now,
+                                RouterActions& actions) {
+  if (m_routes->revision() == 0) {
+    actions.emplace_back(DropPacket{Reason::kNotReady});
+    return;
+  }
+  if (head.AsksToOpen()) {
+    OnOpening(packet, head, now, actions);
+  } else {
+    OnFlowPacket(packet, head, now, actions);
+  }
+}
+
+void FlowRouter::OnOpening(std::string_view packet,
+                           const PacketHead& head,
+                           base::Millis now,
+                           RouterActions& actions) {
+  FlowEnds ends = head.FromCaller();
+  const CompiledRoute* route = m_routes->Find(ends.route);
+  if (route == nullptr) {
+    actions.emplace_back(ResetCaller{ends, 0, Reason::kNoRoute});
+    return;
+  }
+  if (auto known = m_known.find(ends); known != m_known.end()) {
+    // A copy: the acceptance was lost on its way.
+    known->second.last_used = now;
+    actions.emplace_back(SendForward{known->second.agent,
+                                     NewForward(std::string(packet), false)});
+    return;
+  }
+  if (m_offers.contains(ends)) {
+    return;  // the offer that is out decides
+  }
+  Offer offer{.packet = std::string(packet),
+              .service = route->ServiceFor(ends)};
+  if (OfferNext(ends, offer, now, actions)) {
+    m_offers.emplace(ends, std::move(offer));
+  }
+}
+
+bool FlowRouter::OfferNext(const FlowEnds& ends,
+                           Offer& offer,
+                           base::Millis now,
+                           RouterActions& actions) {
+  std::vector<UpstreamOption> options;
+  for (const auto& [address, agent] : m_agents) {
+    bool tried = std::find(offer.tried.begin(), offer.tried.end(), address) !=
+                 offer.tried.end();
+    if (agent.report.service == offer.service && !tried &&
+        TakesFlows(agent, now)) {
+      options.push_back({address, agent.report.data_centre, agent.report.load,
+                         agent.placed});
+    }
+  }
+  std::optional<size_t> best =
+      offer.tried.size() < kMaxOffers
+          ? ChooseUpstream(options, m_data_centre, flow::FlowEndsHash{}(ends))
+          : std::nullopt;
+  if (!best) {
+    actions.emplace_back(ResetCaller{ends, 0, Reason::kNoAgent});
+    return false;
+  }
+  offer.agent = options[*best].agent;
+  offer.tried.push_back(offer.agent);
+  offer.sent_at = now;
+  ++m_agents[offer.agent].placed;
+  actions.emplace_back(
+      SendForward{offer.agent, NewForward(offer.packet, false)});
+  return true;
+}
+
+void FlowRouter::OnFlowPacket(std::string_view packet,
+                              const PacketHead& head,
+                              base::Millis now,
+                              RouterActions& actions) {
+  FlowEnds ends = head.FromCaller();
+  const CompiledRoute* route = m_routes->Find(ends.route);
+  if (route == nullptr) {
+    // The configuration has dropped the route and its flows with it.
+    m_known.erase(ends);
+    actions.emplace_back(
+        ResetCaller{ends, head.acknowledged, Reason::kNoRoute});
+    return;
+  }
+  auto known = m_known.find(ends);
+  if (known == m_known.end()) {
+    StartSearch(packet, head, now, actions);
+    return;
+  }
+  known->second.last_used = now;
+  auto agent = m_agents.find(known->second.agent);
+  bool lost = agent == m_agents.end() || IsSilent(agent->second, now);
+  if (lost && route->idempotent && head.data_bytes > 0) {
+    // The caller repeats such work elsewhere at once. Other work is left to
+    // the upstream, which may have it already.
+    m_known.erase(known);
+    actions.emplace_back(
+        ResetCaller{ends, head.acknowledged, Reason::kFlowLost});
+    return;
+  }
+  actions.emplace_back(SendForward{known->second.agent,
+                                   NewForward(std::string(packet), false)});
+}
+
+void FlowRouter::StartSearch(std::string_view packet,
+                             const PacketHead& head,
+                             base::Millis now,
+                             RouterActions& actions) {
+  FlowEnds ends = head.FromCaller();
+  auto found = m_searches.find(ends);
+  if (found == m_searches.end() &&
+      (m_searches.size() >= kMaxSearches || m_agents.empty())) {
+    actions.emplace_back(DropPacket{Reason::kNotReady});
+    return;
+  }
+  bool begins = found == m_searches.end();
+  Search& search = m_searches[ends];
+  if (begins) {
+    search.started_at = now;
+    for (const auto& [address, agent] : m_agents) {
+      search.asked[address] = std::nullopt;
+      actions.emplace_back(SendLocate{address, {ends, head.acknowledged}});
+    }
+  }
+  search.acknowledged = head.acknowledged;
+  search.wants_answer = search.wants_answer || head.data_bytes > 0;
+  if (search.packets.size() < kMaxHeldPackets) {
+    search.packets.emplace_back(packet);
+  }
+}
+
+void FlowRouter::Remember(const FlowEnds& ends,
+                          base::Address agent,
+                          base::Millis now) {
+  if (m_known.size() < kMaxKnownFlows || m_known.contains(ends)) {
+    m_known[ends] = {agent, now};
+  }
+}
+
+void FlowRouter::OnAnswer(const FlowAnswer& answer,
+                          const PacketHead& head,
+                          base::Address agent,
+                          base::Millis now,
+                          RouterActions& actions) {
+  if (auto known = m_agents.find(agent); known != m_agents.end()) {
+    known->second.heard_at = now;
+    known->second.report.load = answer.load;
+    known->second.placed = 0;
+  }
+  auto offer = m_offers.find(answer.flow);
+  if (answer.holding == Holding::kHeld) {
+    if (offer != m_offers.end()) {
+      m_offers.erase(offer);
+    }
+    Found(answer.flow, agent, now, actions);
+    return;
+  }
+  if (answer.holding == Holding::kRefused) {
+    bool current = offer != m_offers.end() && offer->second.agent == agent;
+    if (current && !OfferNext(answer.flow, offer->second, now, actions)) {
+      m_offers.erase(offer);
+    }
+    return;
+  }
+  if (!answer.packet.empty()) {
+    auto known = m_known.find(answer.flow);
+    if (known != m_known.end() && known->second.agent == agent) {
+      m_known.erase(known);
+    }
+    StartSearch(answer.packet, head, now, actions);
+  }
+  OnSearchAnswer(answer, agent, now, actions);
+}
+
+void FlowRouter::Found(const FlowEnds& ends,
+                       base::Address agent,
+                       base::Millis now,
+                       RouterActions& actions) {
+  Remember(ends, agent, now);
+  auto search = m_searches.find(ends);
+  if (search == m_searches.end()) {
+    return;
+  }
+  for (std::string& packet : search->second.packets) {
+    actions.emplace_back(
+        SendForward{agent, NewForward(std::move(packet), false)});
+  }
+  m_searches.erase(search);
+}
+
+void FlowRouter::OnSearchAnswer(const FlowAnswer& answer,
+                                base::Address agent,
+                                base::Millis now,
+                                RouterActions& actions) {
+  auto found = m_searches.find(answer.flow);
+  if (found == m_searches.end()) {
+    return;
+  }
+  Search& search = found->second;
+  search.asked[agent] = answer.holding;
+  bool complete =
+      std::all_of(search.asked.begin(), search.asked.end(),
+                  [](const auto& entry) { return entry.second.has_value(); });
+  if (complete) {
+    Conclude(answer.flow, search, now, actions);
+    m_searches.erase(found);
+  }
+}
+
+void FlowRouter::Conclude(const FlowEnds& ends,
+                          const Search& search,
+                          base::Millis now,
+                          RouterActions& actions) {
+  bool guessed = false;
+  bool silent_only = true;  // whoever did not answer is silent
+  bool all_answered = true;
+  for (const auto& [address, holding] : search.asked) {
+    if (!holding) {
+      auto agent = m_agents.find(address);
+      all_answered = false;
+      silent_only = silent_only && (agent == m_agents.end() ||
+                                    IsSilent(agent->second, now));
+    } else if (*holding == Holding::kUnsure) {
+      guessed = true;
+      for (const std::string& packet : search.packets) {
+        actions.emplace_back(SendForward{address, NewForward(packet, true)});
+      }
+    }
+  }
+  const CompiledRoute* route = m_routes->Find(ends.route);
+  bool repeatable = route != nullptr && route->idempotent;
+  bool certain = now - m_started > kCertainAfter && !guessed &&
+                 (all_answered || (silent_only && repeatable));
+  if (certain && search.wants_answer) {
+    actions.emplace_back(ResetCaller{
+        ends, search.acknowledged,
+        all_answered ? Reason::kNoSuchFlow : Reason::kFlowLost});
+  } else if (!guessed) {
+    actions.emplace_back(DropPacket{Reason::kNoSuchFlow});
+  }
+}
+
+void FlowRouter::TickOffers(base::Millis now, RouterActions& actions) {
+  for (auto offer = m_offers.begin(); offer != m_offers.end();) {
+    bool out = true;
+    if (now - offer->second.sent_at >= kOfferPatience) {
+      if (auto agent = m_agents.find(offer->second.agent);
+          agent != m_agents.end()) {
+        agent->second.no_answer = true;
+      }
+      out = OfferNext(offer->first, offer->second, now, actions);
+    }
+    offer = out ? std::next(offer) : m_offers.erase(offer);
+  }
+}
+
+void FlowRouter::TickSearches(base::Millis now, RouterActions& actions) {
+  for (auto found = m_searches.begin(); found != m_searches.end();) {
+    Search& search = found->second;
+    base::Millis age = now - search.started_at;
+    if (age >= kSearchEnd) {
+      Conclude(found->first, search, now, actions);
+      found = m_searches.erase(found);
+      continue;
+    }
+    if (age >= kSearchPatience && !search.repeated) {
+      search.repeated = true;
+      for (const auto& [address, holding] : search.asked) {
+        if (!holding) {
+          actions.emplace_back(
+              SendLocate{address, {found->first, search.acknowledged}});
+        }
+      }
+    }
+    ++found;
+  }
+}
+
+void FlowRouter::Sweep(base::Millis now) {
+  base::Millis idle = m_routes->idle_timeout();
+  std::erase_if(m_known, [&](const auto& entry) {
+    return idle > base::Millis(0) && now - entry.second.last_used > idle;
+  });
+  std::erase_if(m_agents, [&](const auto& entry) {
+    return now - entry.second.heard_at > kForgetAgent;
+  });
+}
+
+void FlowRouter::OnTick(base::Millis now, RouterActions& actions) {
+  base::Millis gap = now - m_last_tick;
+  m_last_tick = now;
+  if (gap > kMaxTickGap) {
+    // Paused: what was not heard meanwhile proves nothing.
+    for (auto& [address, agent] : m_agents) {
+      agent.heard_at = agent.heard_at + gap;
+    }
+    return;
+  }
+  TickOffers(now, actions);
+  TickSearches(now, actions);
+  if (now >= m_next_sweep) {
+    m_next_sweep = now + kSweepInterval;
+    Sweep(now);
+  }
+}
+
+}  // namespace filberthollow::decision
--- /dev/null
+++ b/filberthollow/decision/flow_router.h
@@ -0,0 +1,210 @@
+// The decisions of a balancer for passed-through flows: which upstream is
+// offered a new flow, and where the packets of an open one go.
+//
+// What the router remembers of flows is a cache: any balancer may get any
+// packet. For a flow that it does not know it asks the agents who holds it, and
+// keeps the packet meanwhile. It resets a flow only if no upstream can hold it.
+//
+//   RouterActions actions;
+//   router.OnCallerPacket(bytes, head, now, actions);
+//   for (const RouterAction& action : actions) { ... }
+#ifndef FILBERTHOLLOW_DECISION_FLOW_ROUTER_H_
+#define FILBERTHOLLOW_DECISION_FLOW_ROUTER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "filberthollow/decision/packet_messages.h"
+#include "filberthollow/decision/route_table.h"
+#include "filberthollow/decision/upstream_choice.h"
+#include "filberthollow/decision/upstream_gate.h"
+
+namespace filberthollow::decision {
+
+// SendForward sends a packet to an agent.
+struct SendForward {
+  base::Address agent;
+  Forward message;
+  friend bool operator==(const SendForward&, const SendForward&) = default;
+};
+// SendLocate asks an agent.
+struct SendLocate {
+  base::Address agent;
+  Locate message;
+  friend bool operator==(const SendLocate&, const SendLocate&) = default;
+};
+// DropPacket counts a packet that nothing is done about.
+struct DropPacket {
+  flow::Reason reason{};
+  friend bool operator==(const DropPacket&, const DropPacket&) = default;
+};
+
+using RouterAction =
+    std::variant<SendForward, SendLocate, ResetCaller, DropPacket>;
+using RouterActions = std::vector<RouterAction>;
+
+// FlowRouter belongs to one task.
+class FlowRouter {
+ public:
+  // kOfferPatience is how long an agent may take to answer an offer: its own
+  // patience with the upstream, the way there and back, and a stall of its
+  // host. Two offers in a row then still precede the caller's second copy.
+  static constexpr base::Millis kOfferPatience{110};
+  // kMaxOffers bounds the upstreams that are offered one flow.
+  static constexpr size_t kMaxOffers = 4;
+  // kSearchPatience is how long the answers to Locate may take; then those
+  // that are missing are asked once more.
+  static constexpr base::Millis kSearchPatience{60};
+  // kSearchEnd is when a search ends without all answers. The caller repeats
+  // its packet after 200 ms.
+  static constexpr base::Millis kSearchEnd{150};
+  // kMaxHeldPackets bounds the packets kept for one search; an end has at most
+  // 16 in flight.
+  static constexpr size_t kMaxHeldPackets = 16;
+  // kMaxSearches bounds the memory of searches: 16 packets of 1.2 KB each.
+  static constexpr size_t kMaxSearches = 1024;
+  // kMaxKnownFlows bounds the cache: 100 bytes each.
+  static constexpr size_t kMaxKnownFlows = 100'000;
+  // An agent is silent after kMissedReports reports and at least kMinSilence:
+  // one lost report, or a host that stalls for a moment, is no failure.
+  static constexpr int64_t kMissedReports = 3;
+  static constexpr base::Millis kMinSilence{700};
+  // kForgetAgent is when a silent agent is forgotten; its flows have ended.
+  static constexpr base::Millis kForgetAgent{30'000};
+  // kCertainAfter: a balancer that has just started may not have heard of all
+  // agents, and does not call a flow lost.
+  static constexpr base::Millis kCertainAfter{2000};
+  // kMaxTickGap: see UpstreamGate::kMaxTickGap.
+  static constexpr base::Millis kMaxTickGap{350};
+  static constexpr base::Millis kBusyTick{20};
+  static constexpr base::Millis kIdleTick{100};
+
+  FlowRouter(uint64_t data_centre, base::Millis now);
+
+  void SetRoutes(std::shared_ptr<const RouteTable> routes) {
+    m_routes = std::move(routes);
+  }
+  uint64_t revision() const { return m_routes->revision(); }
+
+  // OnCallerPacket takes a packet from the fabric.
+  void OnCallerPacket(std::string_view packet,
+                      const flow::PacketHead& head,
+                      base::Millis now,
+                      RouterActions& actions);
+  // OnAnswer takes an agent's answer. `head` is that of the packet handed back
+  // in it, if there is one.
+  void OnAnswer(const FlowAnswer& answer,
+                const flow::PacketHead& head,
+                base::Address agent,
+                base::Millis now,
+                RouterActions& actions);
+  // OnReport takes an agent's report.
+  void OnReport(const UpstreamReport& report,
+                base::Address agent,
+                base::Millis now);
+  // OnTick is to be called after each TickDelay().
+  void OnTick(base::Millis now, RouterActions& actions);
+  base::Millis TickDelay() const {
+    return m_offers.empty() && m_searches.empty() ? kIdleTick : kBusyTick;
+  }
+
+  // Returns whether callers can be served here.
+  bool IsReady(base::Millis now) const;
+  // Returns the agents that are known.
+  std::vector<base::Address> Agents() const;
+  size_t known_flows() const { return m_known.size(); }
+
+ private:
+  struct Agent {
+    UpstreamReport report;
+    base::Millis heard_at;
+    uint32_t placed = 0;     // since the load was reported
+    bool no_answer = false;  // an offer was not answered since it was heard
+  };
+  struct KnownFlow {
+    base::Address agent;
+    base::Millis last_used;
+  };
+  struct Offer {
+    std::string packet;
+    base::ServiceId service{};
+    base::Address agent;  // that is offered the flow now
+    base::Millis sent_at;
+    std::vector<base::Address> tried;
+  };
+  struct Search {
+    std::vector<std::string> packets;
+    uint32_t acknowledged = 0;
+    bool wants_answer = false;  // a packet carries data
+    bool repeated = false;
+    base::Millis started_at;
+    // What each agent that was asked has answered.
+    std::map<base::Address, std::optional<Holding>> asked;
+  };
+  template <class Value>
+  using ByFlow =
+      std::unordered_map<flow::FlowEnds, Value, flow::FlowEndsHash>;
+
+  void OnOpening(std::string_view packet,
+                 const flow::PacketHead& head,
+                 base::Millis now,
+                 RouterActions& actions);
+  // Offers the flow to the next upstream; resets it if there is none left.
+  // Returns whether an offer is out.
+  bool OfferNext(const flow::FlowEnds& ends,
+                 Offer& offer,
+                 base::Millis now,
+                 RouterActions& actions);
+  void OnFlowPacket(std::string_view packet,
+                    const flow::PacketHead& head,
+                    base::Millis now,
+                    RouterActions& actions);
+  void StartSearch(std::string_view packet,
+                   const flow::PacketHead& head,
+                   base::Millis now,
+                   RouterActions& actions);
+  void OnSearchAnswer(const FlowAnswer& answer,
+                      base::Address agent,
+                      base::Millis now,
+                      RouterActions& actions);
+  void Found(const flow::FlowEnds& ends,
+             base::Address agent,
+             base::Millis now,
+             RouterActions& actions);
+  // Acts on a search whose answers are all there, or will not come.
+  void Conclude(const flow::FlowEnds& ends,
+                const Search& search,
+                base::Millis now,
+                RouterActions& actions);
+  void TickOffers(base::Millis now, RouterActions& actions);
+  void TickSearches(base::Millis now, RouterActions& actions);
+  void Sweep(base::Millis now);
+  void Remember(const flow::FlowEnds& ends,
+                base::Address agent,
+                base::Millis now);
+  bool IsSilent(const Agent& agent, base::Millis now) const;
+  bool TakesFlows(const Agent& agent, base::Millis now) const;
+  Forward NewForward(std::string packet, bool guess) const {
+    return {m_routes->revision(), guess, std::move(packet)};
+  }
+
+  const uint64_t m_data_centre;
+  const base::Millis m_started;
+  std::shared_ptr<const RouteTable> m_routes =
+      std::make_shared<const RouteTable>();
+  std::map<base::Address, Agent> m_agents;
+  ByFlow<KnownFlow> m_known;
+  ByFlow<Offer> m_offers;
+  ByFlow<Search> m_searches;
+  base::Millis m_last_tick;
+  base::Millis m_next_sweep{0};
+};
+
+}  // namespace filberthollow::decision
+
+#endif  // FILBERTHOLLOW_DECISION_FLOW_ROUTER_H_
--- /dev/null
+++ b/filberthollow/decision/upstream_gate.h
@@ -0,0 +1,250 @@
+// The decisions of an agent beside one upstream of passed-through flows.
+//
+// The gate alone reaches its upstream and sees every packet both ways, so what
+// must never happen is refused here: a new flow for another service, or for an
+// upstream that drains, and a packet of a flow that the upstream does not hold.
+//
+//   GateActions actions;
+//   gate.OnForward(forward, head, balancer, now, actions);
+//   for (const GateAction& action : actions) { ... }
+#ifndef FILBERTHOLLOW_DECISION_UPSTREAM_GATE_H_
+#define FILBERTHOLLOW_DECISION_UPSTREAM_GATE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "filberthollow/decision/packet_messages.h"
+#include "filberthollow/decision/route_table.h"
+
+namespace filberthollow::decision {
+
+// ToUpstream delivers a packet.
+struct ToUpstream {
+  std::string packet;
+  friend bool operator==(const ToUpstream&, const ToUpstream&) = default;
+};
+// ToCaller sends the upstream's packet to the caller.
+struct ToCaller {
+  base::Address caller;
+  std::string packet;
+  friend bool operator==(const ToCaller&, const ToCaller&) = default;
+};
+// ResetCaller ends a flow that its upstream has lost.
+struct ResetCaller {
+  flow::FlowEnds flow;
+  uint32_t sequence = 0;
+  flow::Reason reason{};
+  friend bool operator==(const ResetCaller&, const ResetCaller&) = default;
+};
+// AnswerBalancer answers a balancer.
+struct AnswerBalancer {
+  base::Address balancer;
+  FlowAnswer answer;
+  friend bool operator==(const AnswerBalancer&,
+                         const AnswerBalancer&) = default;
+};
+// CheckUpstream asks the upstream's health check for a sign of life.
+struct CheckUpstream {
+  friend bool operator==(CheckUpstream, CheckUpstream) = default;
+};
+// ReportNow tells the balancers at once.
+struct ReportNow {
+  friend bool operator==(ReportNow, ReportNow) = default;
+};
+
+using GateAction = std::variant<ToUpstream,
+                                ToCaller,
+                                ResetCaller,
+                                AnswerBalancer,
+                                CheckUpstream,
+                                ReportNow>;
+using GateActions = std::vector<GateAction>;
+
+// GateOptions are fixed at the start.
+struct GateOptions {
+  base::ServiceId service{};
+  uint64_t data_centre = 0;
+  // No upstream can hold a flow that this agent has not seen.
+  bool first_start = false;
+  base::Millis flow_lifetime{60'000};
+  friend bool operator==(const GateOptions&, const GateOptions&) = default;
+};
+
+// UpstreamGate belongs to one task.
+class UpstreamGate {
+ public:
+  // kOpenPatience is how long the upstream may take to accept or refuse a new
+  // flow, which it does without waiting for a slot. A caller repeats its own
+  // request only after 200 ms, so another upstream can still be tried unseen.
+  static constexpr base::Millis kOpenPatience{50};
+  // kSilencePatience: an upstream that owes an answer and has sent nothing for
+  // so long is silent. Shorter, a host that stalls for a quota's 100 ms or a
+  // burst of work would be taken for a dead one.
+  static constexpr base::Millis kSilencePatience{250};
+  // kDeadPatience: an upstream that has been silent for so long, its health
+  // check included, has lost its flows; their callers are told. A process that
+  // is only slow sends something within it.
+  static constexpr base::Millis kDeadPatience{600};
+  // kClosedLinger keeps a closed flow for late copies of its last packets;
+  // ends repeat them for up to 1.6 s.
+  static constexpr base::Millis kClosedLinger{3000};
+  // kCheckInterval is the pause between health checks of a silent upstream.
+  static constexpr base::Millis kCheckInterval{300};
+  // kGoneLinger is how long an upstream may take to end after its last word;
+  // until then its own packets may still be on their way.
+  static constexpr base::Millis kGoneLinger{500};
+  // kMaxTickGap: after a longer gap between ticks this process was paused, and
+  // what it did not hear meanwhile proves nothing.
+  static constexpr base::Millis kMaxTickGap{350};
+  // kSequenceSlack is how far a caller's acknowledgement may lie beyond what
+  // the upstream was seen to send; packets may pass while an agent restarts.
+  static constexpr uint32_t kSequenceSlack = 76'800;
+  // kRateSpan is the time over which `busy_mean` is taken.
+  static constexpr base::Millis kRateSpan{1000};
+
+  UpstreamGate(GateOptions options, base::Millis now);
+
+  void SetRoutes(std::shared_ptr<const RouteTable> routes) {
+    m_routes = std::move(routes);
+  }
+  uint64_t revision() const { return m_routes->revision(); }
+
+  // OnForward takes a caller's packet from a balancer.
+  void OnForward(const Forward& forward,
+                 const flow::PacketHead& head,
+                 base::Address balancer,
+                 base::Millis now,
+                 GateActions& actions);
+  // OnLocate takes a balancer's question.
+  void OnLocate(const Locate& locate,
+                base::Address balancer,
+                base::Millis now,
+                GateActions& actions);
+  // OnUpstreamPacket takes a packet that the upstream sent.
+  void OnUpstreamPacket(std::string_view packet,
+                        const flow::PacketHead& head,
+                        base::Millis now,
+                        GateActions& actions);
+  // OnBeat takes a heartbeat; returns false if it is stale or of another
+  // upstream, and nothing was learnt from it.
+  bool OnBeat(const UpstreamBeat& beat, base::Millis now, GateActions& actions);
+  // OnHealth takes the outcome of CheckUpstream.
+  void OnHealth(bool answered, base::Millis now, GateActions& actions);
+  // OnTick is to be called after each TickDelay().
+  void OnTick(base::Millis now, GateActions& actions);
+  base::Millis TickDelay() const {
+    return m_offers_pending ? kBusyTick : kIdleTick;
+  }
+  // kBusyTick is half of kOpenPatience, so that it is kept within half.
+  static constexpr base::Millis kBusyTick{25};
+  // kIdleTick: silence is judged in hundreds of milliseconds; shorter ticks
+  // would cost processor time for nothing.
+  static constexpr base::Millis kIdleTick{100};
+
+  // Report returns what balancers are to know; the sender sets `interval`.
+  UpstreamReport Report(base::Millis now) const;
+  // Returns the flows in the table, closed ones included.
+  size_t flows() const { return m_flows.size(); }
+
+ private:
+  enum class Stage : uint8_t { kOffered, kOpen, kClosed };
+
+  struct Flow {
+    Stage stage = Stage::kOffered;
+    bool answered = false;       // the upstream has accepted it
+    bool caller_finished = false;
+    bool upstream_finished = false;
+    bool busy = false;           // a request has no answer yet
+    bool upstream_seen = false;      // `upstream_end` is known
+    bool caller_seen = false;        // `caller_end` is known
+    uint32_t upstream_end = 0;       // after the last byte that it sent
+    uint32_t caller_end = 0;         // after the last byte of the caller
+    uint32_t caller_acknowledged = 0;
+    base::Address balancer;  // that offered the flow
+    base::Millis offered_at;
+    base::Millis last_used;
+  };
+  using Flows = std::unordered_map<flow::FlowEnds, Flow, flow::FlowEndsHash>;
+
+  void OnOpening(const Forward& forward,
+                 const flow::PacketHead& head,
+                 base::Address balancer,
+                 base::Millis now,
+                 GateActions& actions);
+  // Returns why a new flow is refused, or nothing.
+  std::optional<flow::Reason> WhyNotOpen(const Forward& forward,
+                                         const flow::PacketHead& head) const;
+  void OnBounced(const flow::PacketHead& head,
+                 base::Millis now,
+                 GateActions& actions);
+  void NoteCallerPacket(Flow& flow,
+                        const flow::PacketHead& head,
+                        base::Millis now);
+  void NoteUpstreamPacket(Flow& flow,
+                          const flow::PacketHead& head,
+                          base::Millis now);
+  Holding HoldingOf(const flow::FlowEnds& ends,
+                    uint32_t acknowledged,
+                    base::Millis now) const;
+  // Returns whether a flow that is not in the table can't be at the upstream.
+  bool KnowsAllFlows(base::Millis now) const;
+  void Answer(base::Address balancer,
+              const flow::FlowEnds& ends,
+              Holding holding,
+              flow::Reason reason,
+              std::string packet,
+              base::Millis now,
+              GateActions& actions) const;
+  void SetBusy(Flow& flow, bool busy, base::Millis now);
+  void AdvanceRate(base::Millis now);
+  // Tells the callers of all open flows that their upstream has lost them.
+  void LoseFlows(flow::Reason reason, GateActions& actions);
+  void SetSilent(bool silent, base::Millis now, GateActions& actions);
+  void CheckSilence(base::Millis now, GateActions& actions);
+  void ExpireOffers(base::Millis now, GateActions& actions);
+  void DropOldFlows(base::Millis now);
+  Flows::iterator Erase(Flows::iterator flow, base::Millis now);
+  UpstreamLoad LoadNow(base::Millis now) const;
+
+  const GateOptions m_options;
+  const base::Millis m_started;
+  std::shared_ptr<const RouteTable> m_routes =
+      std::make_shared<const RouteTable>();
+  Flows m_flows;
+
+  // The upstream as its heartbeats tell.
+  UpstreamState m_state = UpstreamState::kUnknown;
+  std::string m_id;
+  base::Millis m_run_started{-1};
+  uint64_t m_last_sequence = 0;
+  bool m_saw_whole_run = false;
+  uint32_t m_slots = 1;
+  base::Millis m_cold_until{0};
+
+  // Signs of life.
+  base::Millis m_last_heard;   // any packet, heartbeat or health answer
+  base::Millis m_owed_since{base::kNever};  // first unanswered opening packet
+  bool m_silent = false;
+  bool m_checking = false;     // a health check is under way
+  base::Millis m_silent_since{base::kNever};
+  base::Millis m_next_check{0};
+  bool m_check_failed = false;  // the last health check since it fell silent
+  base::Millis m_gone_at{base::kNever};
+  base::Millis m_last_tick;
+
+  uint32_t m_busy = 0;
+  uint32_t m_open = 0;
+  double m_busy_mean = 0;
+  base::Millis m_rate_at;
+  base::Millis m_next_sweep{0};
+  bool m_offers_pending = false;
+};
+
+}  // namespace filberthollow::decision
+
+#endif  // FILBERTHOLLOW_DECISION_UPSTREAM_GATE_H_
--- a/filberthollow/flow/reason.cc
+++ b/filberthollow/flow/reason.cc
@@ -53,6 +53,17 @@
      "a new attempt of idempotent work with an unknown outcome"},
     {kResendNoAnswer, kRetried, "resend_no_answer",
      "the same message sent again, since no answer came"},
+    {kNoRoute, kRefused, "no_route",
+     "no route in force has the address of the new flow"},
+    {kUpstreamSilent, kRefused, "upstream_silent",
+     "the upstream does not answer what it must answer at once"},
+    {kUpstreamRestarted, kRefused, "upstream_restarted",
+     "the upstream has ended or restarted and lost the flow"},
+    {kFlowLost, kRefused, "flow_lost",
+     "the agent that held the flow has been silent for too long"},
+    {kNoSuchFlow, kRefused, "no_such_flow", "no upstream holds the flow"},
+    {kNoAgent, kRefused, "no_agent",
+     "no upstream of the service took the new flow in time"},
 }};
 
 constexpr std::array<std::string_view, 3> kKindNames{"refused", "dropped",
--- a/filberthollow/flow/reason.h
+++ b/filberthollow/flow/reason.h
@@ -50,6 +50,13 @@
   kRetryNotRun,
   kRetryIdempotent,
   kResendNoAnswer,
+  // Passed-through flows.
+  kNoRoute,
+  kUpstreamSilent,
+  kUpstreamRestarted,
+  kFlowLost,
+  kNoSuchFlow,
+  kNoAgent,
 };
 
 // ReasonKind says what happened to the work.
@@ -63,7 +70,7 @@
   std::string_view meaning;
 };
 
-inline constexpr size_t kReasonCount = 29;
+inline constexpr size_t kReasonCount = 35;
 
 // ReasonTable lists every reason in the order of the enumeration.
 const std::array<ReasonRow, kReasonCount>& ReasonTable();
--- a/filberthollow/kernel/kernel.cc
+++ b/filberthollow/kernel/kernel.cc
@@ -16,6 +16,7 @@
   sigemptyset(&set);
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
   sigaddset(&set, kDrainedSignal);
   return set;
 }
@@ -62,9 +63,20 @@
   if (signal < 0) {
     return Wakeup::kTimeout;
   }
+  if (signal == SIGHUP) {
+    return Wakeup::kReload;
+  }
   return signal == kDrainedSignal ? Wakeup::kDrained : Wakeup::kStopSignal;
 }
 
+Wakeup WaitForStop() {
+  Wakeup wakeup = WaitForWakeup(-1);
+  while (wakeup == Wakeup::kReload) {
+    wakeup = WaitForWakeup(-1);
+  }
+  return wakeup;
+}
+
 void NotifyDrained() {
   kill(getpid(), kDrainedSignal);
 }
--- a/filberthollow/kernel/kernel.h
+++ b/filberthollow/kernel/kernel.h
@@ -54,6 +54,7 @@
 // Wakeup is why WaitForWakeup() returned.
 enum class Wakeup : uint8_t {
   kStopSignal,  // SIGTERM or SIGINT
+  kReload,      // SIGHUP: the settings may have changed
   kDrained,     // a task called NotifyDrained()
   kTimeout,
 };
@@ -64,6 +65,9 @@
 // WaitForWakeup sleeps until a signal, NotifyDrained() or the timeout; a
 // negative timeout never comes. For the main thread.
 Wakeup WaitForWakeup(int timeout_ms);
+// WaitForStop sleeps until a stop signal or NotifyDrained(); for processes that
+// have nothing to reload.
+Wakeup WaitForStop();
 // NotifyDrained wakes the main thread; may be called from any thread.
 void NotifyDrained();
 
--- a/filberthollow/net/http_server.cc
+++ b/filberthollow/net/http_server.cc
@@ -7,6 +7,8 @@
 #include <array>
 #include <utility>
 
+#include "filberthollow/net/tcp_listener.h"
+
 namespace filberthollow::net {
 namespace {
 
@@ -180,7 +182,7 @@
     if (connection == nullptr || connection->responder) {
       return 0;
     }
-    auto* server = static_cast<HttpServer*>(lws_vhost_user(lws_get_vhost(wsi)));
+    auto* server = static_cast<HttpServer*>(lws_get_opaque_user_data(wsi));
     auto responder = std::make_shared<Responder>();
     responder->m_wsi = wsi;
     connection->responder = responder;
@@ -298,21 +300,37 @@
       {"http", &Callbacks::OnHttp, sizeof(Callbacks::Slot), 0, 0, nullptr, 0},
       {nullptr, nullptr, 0, 0, 0, nullptr, 0},
   }};
-  m_interface = address.IpText();
+  base::Result<Listener> listener = ListenTcp(address);
+  if (!listener) {
+    return listener.error();
+  }
+  // libwebsockets serves the connections; the listening socket is our own,
+  // since its listening hosts do not start where only plain sockets work.
   lws_context_creation_info info{};
-  info.port = address.port;
-  info.iface = m_interface.c_str();
+  info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
   info.protocols = protocols.data();
   info.vhost_name = "http";
-  info.user = this;
   info.keepalive_timeout = kIdleSeconds;
-  lws_vhost* vhost = lws_create_vhost(m_loop.context(), &info);
-  int port = vhost == nullptr ? 0 : lws_get_vhost_listen_port(vhost);
-  if (port <= 0) {
-    return base::MakeError(std::errc::address_in_use, "listen for HTTP",
+  m_vhost = lws_create_vhost(m_loop.context(), &info);
+  int fd = listener->fd;
+  if (m_vhost == nullptr ||
+      !m_loop.WatchReadable(fd, [this, fd] { AcceptWaiting(fd); })) {
+    return base::MakeError(std::errc::not_enough_memory, "serve HTTP",
                            address.Text());
   }
-  return base::Address{address.ip, static_cast<uint16_t>(port)};
+  return listener->address;
+}
+
+void HttpServer::AcceptWaiting(int listener) {
+  int fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  while (fd >= 0) {
+    // A connection that can't be taken is closed by libwebsockets. Several
+    // servers on one loop look alike to it, so the connection names its own.
+    if (lws* wsi = lws_adopt_socket_vhost(m_vhost, fd)) {
+      lws_set_opaque_user_data(wsi, this);
+    }
+    fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  }
 }
 
 }  // namespace filberthollow::net
--- a/filberthollow/net/http_server.h
+++ b/filberthollow/net/http_server.h
@@ -23,6 +23,7 @@
 #include "filberthollow/net/loop.h"
 
 struct lws;
+struct lws_vhost;
 
 namespace filberthollow::net {
 
@@ -84,13 +85,14 @@
   struct Connection;  // state of one connection
   struct Callbacks;   // libwebsockets' callbacks
 
+  void AcceptWaiting(int listener);
   void WatchForClose(const std::shared_ptr<Responder>& responder);
   void CheckForClose();
 
   Loop& m_loop;
   Handler m_handler;
   std::vector<std::weak_ptr<Responder>> m_waiting;  // answers that are due
-  std::string m_interface;
+  lws_vhost* m_vhost = nullptr;
 };
 
 }  // namespace filberthollow::net
--- a/filberthollow/net/http_test.cc
+++ b/filberthollow/net/http_test.cc
@@ -49,12 +49,13 @@
 
   HttpResult Call(HttpRequest request) {
     HttpResult result;
+    bool done = false;
     request.server = address;
     client.Start(std::move(request), [&](const HttpResult& r) {
       result = r;
-      loop.Quit();
+      done = true;
     });
-    loop.Run();
+    loop.RunUntil([&done] { return done; });
     return result;
   }
 };
@@ -98,6 +99,17 @@
   BOOST_TEST(closed == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(ServersOnOneLoopAnswerTheirOwnConnections, Fixture) {
+  HttpServer other(loop, [](const auto& /*request*/, auto responder) {
+    responder->Answer({.body = "other"});
+  });
+  base::Address own = address;
+  address = *other.Listen({kLoopback, 0});
+  BOOST_TEST(Call({.path = "/x"}).body == "other");
+  address = own;
+  BOOST_TEST(Call({.path = "/x"}).body == "GET /x   ");
+}
+
 BOOST_AUTO_TEST_CASE(ARefusedConnectionWasNotSent) {
   base::SystemClock clock;
   Loop loop(clock);
--- a/filberthollow/net/loop.cc
+++ b/filberthollow/net/loop.cc
@@ -17,6 +17,10 @@
 constexpr int64_t kMillisPerSecond = 1000;
 constexpr int64_t kNanosPerMilli = 1'000'000;
 constexpr unsigned kLibraryTimeoutSeconds = 3600;
+// A client connection whose peer has gone silent is found after 3 s: a longer
+// wait would keep a watch deaf for longer than a configuration change may take.
+constexpr int kKeepAliveSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
 
 using Readable = std::function<void()>;
 
@@ -74,6 +78,9 @@
   vhost.port = CONTEXT_PORT_NO_LISTEN;
   vhost.protocols = protocols.data();
   vhost.vhost_name = "loop";
+  vhost.ka_time = kKeepAliveSeconds;
+  vhost.ka_interval = kKeepAliveSeconds;
+  vhost.ka_probes = kKeepAliveProbes;
   m_vhost = lws_create_vhost(m_context, &vhost);
   m_timer_fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
   WatchReadable(m_timer_fd, [this] { FireTimers(); });
--- a/filberthollow/net/tcp_listener.cc
+++ b/filberthollow/net/tcp_listener.cc
@@ -12,8 +12,8 @@
 
 }  // namespace
 
-base::Result<int> ListenTcp(base::Address address) {
-  int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+base::Result<Listener> ListenTcp(base::Address address) {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) {
     return base::SystemError("open TCP socket", address.Text());
   }
@@ -23,13 +23,15 @@
   name.sin_family = AF_INET;
   name.sin_addr.s_addr = htonl(address.ip);
   name.sin_port = htons(address.port);
-  if (bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name)) != 0 ||
-      listen(fd, kBacklog) != 0) {
+  socklen_t length = sizeof(name);
+  if (bind(fd, reinterpret_cast<sockaddr*>(&name), length) != 0 ||
+      listen(fd, kBacklog) != 0 ||
+      getsockname(fd, reinterpret_cast<sockaddr*>(&name), &length) != 0) {
     base::Error error = base::SystemError("listen on TCP", address.Text());
     close(fd);
     return error;
   }
-  return fd;
+  return Listener{fd, {ntohl(name.sin_addr.s_addr), ntohs(name.sin_port)}};
 }
 
 base::Result<ControlSockets> BindControl(base::Address address) {
@@ -42,7 +44,7 @@
     }
     auto listener = ListenTcp((*datagrams)->address());
     if (listener) {
-      return ControlSockets{*datagrams, *listener};
+      return ControlSockets{*datagrams, listener->fd};
     }
     last = listener.error();
   }
--- a/filberthollow/net/tcp_listener.h
+++ b/filberthollow/net/tcp_listener.h
@@ -1,6 +1,6 @@
 // A listening TCP socket for servers that bring their own event loop.
 //
-//   Result<int> fd = ListenTcp(address);
+//   Result<Listener> listener = ListenTcp(address);
 #ifndef FILBERTHOLLOW_NET_TCP_LISTENER_H_
 #define FILBERTHOLLOW_NET_TCP_LISTENER_H_
 
@@ -12,8 +12,15 @@
 
 namespace filberthollow::net {
 
-// ListenTcp returns a listening descriptor, which the caller closes.
-base::Result<int> ListenTcp(base::Address address);
+// Listener is a listening, non-blocking descriptor, which its owner closes.
+struct Listener {
+  int fd = -1;
+  base::Address address;
+  friend bool operator==(const Listener&, const Listener&) = default;
+};
+
+// ListenTcp opens a listening socket; port 0 lets the kernel choose one.
+base::Result<Listener> ListenTcp(base::Address address);
 
 // ControlSockets are a UDP socket and a TCP listener on one port number.
 struct ControlSockets {
--- /dev/null
+++ b/filberthollow/passthrough/agent_task.cc
@@ -0,0 +1,303 @@
+#include "filberthollow/passthrough/agent_task.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "filberthollow/base/log.h"
+#include "filberthollow/config/config_messages.h"
+
+namespace filberthollow::passthrough {
+namespace {
+
+using base::Level;
+using decision::UpstreamState;
+
+constexpr int64_t kMillisPerSecond = 1000;
+
+decision::GateOptions GateOptionsOf(const NodeFile& file) {
+  return {.service = base::ServiceIdOf(file.service),
+          .data_centre = base::HashBytes(file.data_centre),
+          .first_start = file.first_start,
+          .flow_lifetime = file.flow_lifetime};
+}
+
+}  // namespace
+
+AgentTask::AgentTask(const base::Clock& clock,
+                     kernel::Registry& registry,
+                     const NodeFile& file,
+                     const Adapter& adapter,
+                     AgentSockets sockets)
+    : LoopTask(clock, registry, kPacketsService),
+      m_self(file.peers),
+      m_upstream(file.upstream),
+      m_caller_port(file.caller_port),
+      m_format(*adapter.packets),
+      m_sockets(std::move(sockets)),
+      m_gate(GateOptionsOf(file), clock.Now()) {}
+
+void AgentTask::OnStart() {
+  auto outbound = m_sockets.outbound->Watch(loop(), [this](auto bytes,
+                                                           auto from) {
+    OnUpstreamDatagram(bytes, from);
+  });
+  auto peers = m_sockets.peers->Watch(
+      loop(), [this](auto bytes, auto from) { OnPeerDatagram(bytes, from); });
+  for (const auto* result : {&outbound, &peers}) {
+    if (!*result) {
+      base::Log(Level::kError, "socket_failed",
+                {{"error", result->error().Text()}});
+    }
+  }
+  ArmTick();
+  OnReportTimer();
+  loop().After(kSearchInterval, [this] { OnSearchTimer(); });
+}
+
+void AgentTask::OnMessage(const PacketsMessage& message) {
+  std::visit([this](const auto& m) { Handle(m); }, message);
+}
+
+void AgentTask::Handle(const RoutesChanged& m) {
+  m_gate.SetRoutes(m.routes);
+  SendReports(false);
+}
+
+void AgentTask::Handle(const PeersFound& m) {
+  bool news = false;
+  for (base::Address balancer : m.balancers) {
+    news |= m_balancers.try_emplace(balancer, Balancer{Now()}).second;
+  }
+  if (news) {
+    SendReports(true);
+  }
+}
+
+void AgentTask::Handle(const BeatHeard& m) {
+  UpstreamState before = m_gate.Report(Now()).state;
+  if (!m_gate.OnBeat(m.beat, Now(), m_actions)) {
+    m_metrics.Add("beats_ignored");
+    return;
+  }
+  if (UpstreamState after = m_gate.Report(Now()).state; after != before) {
+    base::Log(Level::kInfo, "upstream_state",
+              {{"upstream", m.beat.id},
+               {"state", std::to_string(static_cast<int>(after))},
+               {"sequence", std::to_string(m.beat.sequence)}});
+  }
+  Act();
+}
+
+void AgentTask::Handle(const HealthChecked& m) {
+  m_gate.OnHealth(m.answered, Now(), m_actions);
+  Act();
+}
+
+void AgentTask::Handle(const LeaveFleet& /*m*/) {
+  m_left_at = Now();
+  m_last_packet = Now();
+  SendReports(false);
+}
+
+void AgentTask::Handle(const admin::ReportQuery& m) {
+  m_metrics.Set("flows", m_gate.flows());
+  m_metrics.Set("packets_wakeups", loop().wakeups());
+  nlohmann::json status{{"revision", m_gate.revision()},
+                        {"flows", m_gate.flows()},
+                        {"balancers", m_balancers.size()}};
+  m.reply_to->Post({m.query, name(), m_metrics.Report(), status.dump()});
+}
+
+void AgentTask::OnUpstreamDatagram(std::string_view bytes,
+                                   base::Address from) {
+  auto head = m_format.Read(bytes);
+  if (!head || from.ip != m_upstream.ip) {
+    m_metrics.Count(flow::Reason::kMalformed);
+    return;
+  }
+  m_last_packet = Now();
+  m_gate.OnUpstreamPacket(bytes, *head, Now(), m_actions);
+  Act();
+}
+
+void AgentTask::OnPeerDatagram(std::string_view bytes, base::Address from) {
+  auto message = wire::DecodePacketMessage(bytes);
+  if (!message) {
+    m_metrics.Count(message.reason());
+    return;
+  }
+  std::visit([this, from](const auto& m) { HandlePeer(m, from); }, *message);
+}
+
+void AgentTask::HandlePeer(const decision::Forward& m, base::Address from) {
+  auto head = m_format.Read(m.packet);
+  if (!head) {
+    m_metrics.Count(flow::Reason::kMalformed);
+    return;
+  }
+  m_last_packet = Now();
+  m_gate.OnForward(m, *head, from, Now(), m_actions);
+  Act();
+}
+
+void AgentTask::HandlePeer(const decision::Locate& m, base::Address from) {
+  m_metrics.Add("locates_heard");
+  m_gate.OnLocate(m, from, Now(), m_actions);
+  Act();
+}
+
+void AgentTask::HandlePeer(const decision::FlowAnswer& /*m*/,
+                           base::Address /*from*/) {
+  m_metrics.Count(flow::Reason::kMalformed);  // only balancers are sent these
+}
+
+void AgentTask::HandlePeer(const decision::UpstreamReport& /*m*/,
+                           base::Address /*from*/) {
+  m_metrics.Count(flow::Reason::kMalformed);  // only balancers are sent these
+}
+
+void AgentTask::HandlePeer(const decision::BalancerHello& m,
+                           base::Address from) {
+  if (m.revision > m_gate.revision()) {
+    Post(config::kConfigService,
+         config::ConfigMessage(config::NewerRevision{m.revision, from}));
+  }
+  if (m.leaving) {
+    m_balancers.erase(from);
+  } else {
+    m_balancers[from] = Balancer{Now(), true};
+  }
+  Handle(PeersFound{m.balancers});
+}
+
+void AgentTask::Act() {
+  // Acting may not add actions.
+  for (const decision::GateAction& action : m_actions) {
+    std::visit([this](const auto& a) { ActOn(a); }, action);
+  }
+  m_actions.clear();
+  ArmTick();
+}
+
+void AgentTask::ActOn(const decision::ToUpstream& action) {
+  m_metrics.Add("packets_to_upstream");
+  if (!m_sockets.outbound->Send(action.packet, m_upstream)) {
+    m_metrics.Count(flow::Reason::kSendFailed);
+  }
+}
+
+void AgentTask::ActOn(const decision::ToCaller& action) {
+  m_metrics.Add("packets_to_callers");
+  if (!m_sockets.outbound->Send(action.packet,
+                                {action.caller.ip, m_caller_port})) {
+    m_metrics.Count(flow::Reason::kSendFailed);
+  }
+}
+
+void AgentTask::ActOn(const decision::ResetCaller& action) {
+  m_metrics.Count(action.reason);
+  base::Log(Level::kInfo, "flow_reset",
+            {{"flow", action.flow.Text()},
+             {"reason", std::string(flow::ReasonName(action.reason))}});
+  if (!m_sockets.outbound->Send(m_format.Reset(action.flow, action.sequence),
+                                {action.flow.caller.ip, m_caller_port})) {
+    m_metrics.Count(flow::Reason::kSendFailed);
+  }
+}
+
+void AgentTask::ActOn(const decision::AnswerBalancer& action) {
+  if (action.answer.holding == decision::Holding::kRefused) {
+    m_metrics.Count(action.answer.reason);
+  }
+  SendToPeer(action.answer, action.balancer);
+}
+
+void AgentTask::ActOn(const decision::CheckUpstream& /*action*/) {
+  m_metrics.Add("health_checks");
+  Post(kControlService, ControlMessage(CheckHealth{}));
+}
+
+void AgentTask::ActOn(const decision::ReportNow& /*action*/) {
+  SendReports(false);
+}
+
+void AgentTask::SendToPeer(const wire::PacketMessage& message,
+                           base::Address to) {
+  if (!m_sockets.peers->Send(wire::EncodePacketMessage(message), to)) {
+    m_metrics.Count(flow::Reason::kSendFailed);
+  }
+}
+
+void AgentTask::ArmTick() {
+  base::Millis due = Now() + m_gate.TickDelay();
+  if (due >= m_next_tick) {
+    return;
+  }
+  loop().Cancel(m_tick_timer);
+  m_next_tick = due;
+  m_tick_timer = loop().After(m_gate.TickDelay(), [this] { OnTick(); });
+}
+
+void AgentTask::OnTick() {
+  m_next_tick = base::kNever;
+  m_gate.OnTick(Now(), m_actions);
+  Act();
+  CheckLeft();
+}
+
+base::Millis AgentTask::ReportInterval() const {
+  int64_t bytes = static_cast<int64_t>(m_balancers.size()) * kReportBytes;
+  return std::max(
+      kReportInterval,
+      base::Millis(bytes * kMillisPerSecond / kControlBytesPerSecond));
+}
+
+void AgentTask::OnReportTimer() {
+  loop().After(ReportInterval(), [this] { OnReportTimer(); });
+  SendReports(false);
+}
+
+void AgentTask::OnSearchTimer() {
+  loop().After(kSearchInterval, [this] { OnSearchTimer(); });
+  std::erase_if(m_balancers, [this](const auto& entry) {
+    return Now() - entry.second.heard_at > kForgetBalancer;
+  });
+  SendReports(true);
+  bool heard = std::any_of(
+      m_balancers.begin(), m_balancers.end(), [this](const auto& entry) {
+        return entry.second.heard &&
+               Now() - entry.second.heard_at < kSilentBalancer;
+      });
+  if (!heard) {
+    Post(config::kConfigService,
+         config::ConfigMessage(config::BalancersWanted{}));
+  }
+}
+
+void AgentTask::SendReports(bool to_silent) {
+  decision::UpstreamReport report = m_gate.Report(Now());
+  report.interval = ReportInterval();
+  if (m_left_at != base::kNever && report.state == UpstreamState::kReady) {
+    report.state = UpstreamState::kDraining;  // new flows would be cut
+  }
+  for (const auto& [address, balancer] : m_balancers) {
+    bool silent =
+        !balancer.heard || Now() - balancer.heard_at >= kSilentBalancer;
+    if (silent == to_silent) {
+      SendToPeer(report, address);
+    }
+  }
+}
+
+void AgentTask::CheckLeft() {
+  if (m_left_at == base::kNever) {
+    return;
+  }
+  bool ended = m_gate.Report(Now()).state == UpstreamState::kGone;
+  if (ended && Now() - m_last_packet >= kLeaveQuiet) {
+    kernel::NotifyDrained();
+  }
+}
+
+}  // namespace filberthollow::passthrough
--- /dev/null
+++ b/filberthollow/passthrough/agent_task.h
@@ -0,0 +1,112 @@
+// The packets service of a passed-through agent: it owns the socket on which
+// its upstream sends, and the socket towards balancers. Packets of the upstream
+// go straight to the caller.
+#ifndef FILBERTHOLLOW_PASSTHROUGH_AGENT_TASK_H_
+#define FILBERTHOLLOW_PASSTHROUGH_AGENT_TASK_H_
+
+#include <map>
+#include <memory>
+#include <string_view>
+
+#include "filberthollow/decision/upstream_gate.h"
+#include "filberthollow/metrics/metrics.h"
+#include "filberthollow/net/loop_task.h"
+#include "filberthollow/net/udp_socket.h"
+#include "filberthollow/passthrough/adapter.h"
+#include "filberthollow/passthrough/messages.h"
+#include "filberthollow/wire/packet_codec.h"
+
+namespace filberthollow::passthrough {
+
+// AgentSockets are bound before the kernel starts.
+struct AgentSockets {
+  std::shared_ptr<net::UdpSocket> outbound;
+  std::shared_ptr<net::UdpSocket> peers;
+};
+
+class AgentTask final : public net::LoopTask<PacketsMessage> {
+ public:
+  // kReportInterval is the shortest time between reports to one balancer;
+  // balancers place flows by loads of that age and miss a dead host after
+  // three.
+  static constexpr base::Millis kReportInterval{200};
+  // kReportBytes is the length of a report with its headers.
+  static constexpr int64_t kReportBytes = 150;
+  // kControlBytesPerSecond bounds the reports: it is what one host may spend
+  // on control at the size designed for.
+  static constexpr int64_t kControlBytesPerSecond = 3000;
+  // A balancer that was not heard of for kSilentBalancer gets reports only
+  // every kSearchInterval, and none after kForgetBalancer.
+  static constexpr base::Millis kSilentBalancer{5000};
+  static constexpr base::Millis kSearchInterval{1000};
+  static constexpr base::Millis kForgetBalancer{30'000};
+  // kLeaveQuiet is how long a stopping agent goes on after its upstream has
+  // ended: its last packets may still be on their way.
+  static constexpr base::Millis kLeaveQuiet{300};
+
+  AgentTask(const base::Clock& clock,
+            kernel::Registry& registry,
+            const NodeFile& file,
+            const Adapter& adapter,
+            AgentSockets sockets);
+
+ protected:
+  void OnStart() override;
+  void OnMessage(const PacketsMessage& message) override;
+
+ private:
+  struct Balancer {
+    base::Millis heard_at;
+    bool heard = false;
+  };
+
+  void Handle(const RoutesChanged& m);
+  void Handle(const PeersFound& m);
+  void Handle(const BeatHeard& m);
+  void Handle(const HealthChecked& m);
+  void Handle(const LeaveFleet& m);
+  void Handle(const admin::ReportQuery& m);
+
+  void OnUpstreamDatagram(std::string_view bytes, base::Address from);
+  void OnPeerDatagram(std::string_view bytes, base::Address from);
+  void HandlePeer(const decision::Forward& m, base::Address from);
+  void HandlePeer(const decision::Locate& m, base::Address from);
+  void HandlePeer(const decision::FlowAnswer& m, base::Address from);
+  void HandlePeer(const decision::UpstreamReport& m, base::Address from);
+  void HandlePeer(const decision::BalancerHello& m, base::Address from);
+
+  // Carries out what the gate decided and arms the next tick.
+  void Act();
+  void ActOn(const decision::ToUpstream& action);
+  void ActOn(const decision::ToCaller& action);
+  void ActOn(const decision::ResetCaller& action);
+  void ActOn(const decision::AnswerBalancer& action);
+  void ActOn(const decision::CheckUpstream& action);
+  void ActOn(const decision::ReportNow& action);
+  void OnTick();
+  void ArmTick();
+  void OnReportTimer();
+  void OnSearchTimer();
+  base::Millis ReportInterval() const;
+  void SendReports(bool to_silent);
+  void CheckLeft();
+  void SendToPeer(const wire::PacketMessage& message, base::Address to);
+
+  const base::Address m_self;
+  const base::Address m_upstream;
+  const uint16_t m_caller_port;
+  const flow::PacketFormat& m_format;
+  AgentSockets m_sockets;
+  decision::UpstreamGate m_gate;
+  decision::GateActions m_actions;
+  std::map<base::Address, Balancer> m_balancers;
+  base::Millis m_next_tick{base::kNever};
+  net::Loop::TimerId m_tick_timer{};
+  base::Millis m_left_at{base::kNever};
+  base::Millis m_last_packet{0};
+  metrics::Metrics m_metrics;
+};
+
+}  // namespace filberthollow::passthrough
+
+#endif  // FILBERTHOLLOW_PASSTHROUGH_AGENT_TASK_H_
--- /dev/null
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -0,0 +1,277 @@
+#include "filberthollow/passthrough/balancer_task.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "filberthollow/base/log.h"
+#include "filberthollow/config/config_messages.h"
+
+namespace filberthollow::passthrough {
+namespace {
+
+using base::Level;
+
+}  // namespace
+
+BalancerTask::BalancerTask(const base::Clock& clock,
+                           kernel::Registry& registry,
+                           const NodeFile& file,
+                           const Adapter& adapter,
+                           BalancerSockets sockets)
+    : LoopTask(clock, registry, kPacketsService),
+      m_self(file.peers),
+      m_caller_port(file.caller_port),
+      m_format(*adapter.packets),
+      m_sockets(std::move(sockets)),
+      m_router(base::HashBytes(file.data_centre), clock.Now()) {}
+
+void BalancerTask::OnStart() {
+  auto callers = m_sockets.callers->Watch(
+      loop(), [this](auto bytes, auto /*from*/) { OnCallerDatagram(bytes); });
+  auto peers = m_sockets.peers->Watch(
+      loop(), [this](auto bytes, auto from) { OnPeerDatagram(bytes, from); });
+  for (const auto* result : {&callers, &peers}) {
+    if (!*result) {
+      base::Log(Level::kError, "socket_failed",
+                {{"error", result->error().Text()}});
+    }
+  }
+  ArmTick();
+  OnHelloTimer();
+}
+
+void BalancerTask::OnMessage(const PacketsMessage& message) {
+  std::visit([this](const auto& m) { Handle(m); }, message);
+}
+
+void BalancerTask::Handle(const RoutesChanged& m) {
+  m_router.SetRoutes(m.routes);
+  CheckReadiness();
+  SendHellos();
+}
+
+void BalancerTask::Handle(const PeersFound& m) {
+  for (base::Address balancer : m.balancers) {
+    if (balancer != m_self && m_balancers.try_emplace(balancer, Now()).second) {
+      SendHello(balancer);
+    }
+  }
+}
+
+void BalancerTask::Handle(const LeaveFleet& /*m*/) {
+  m_left_at = Now();
+  m_last_packet = Now();
+  CheckReadiness();
+  SendHellos();
+}
+
+void BalancerTask::Handle(const admin::ReportQuery& m) {
+  m_metrics.Set("known_flows", m_router.known_flows());
+  m_metrics.Set("packets_wakeups", loop().wakeups());
+  nlohmann::json status{{"revision", m_router.revision()},
+                        {"agents", m_router.Agents().size()},
+                        {"balancers", m_balancers.size()}};
+  m.reply_to->Post(
+      {m.query, name(), m_metrics.Report(), status.dump(), m_ready});
+}
+
+void BalancerTask::OnCallerDatagram(std::string_view bytes) {
+  m_last_packet = Now();
+  m_metrics.Add("caller_packets");
+  auto head = m_format.Read(bytes);
+  if (!head) {
+    m_metrics.Count(flow::Reason::kMalformed);
+    return;
+  }
+  m_router.OnCallerPacket(bytes, *head, Now(), m_actions);
+  Act();
+}
+
+void BalancerTask::OnPeerDatagram(std::string_view bytes, base::Address from) {
+  auto message = wire::DecodePacketMessage(bytes);
+  if (!message) {
+    m_metrics.Count(message.reason());
+    return;
+  }
+  std::visit([this, from](const auto& m) { HandlePeer(m, from); }, *message);
+}
+
+void BalancerTask::HandlePeer(const decision::Forward& /*m*/,
+                              base::Address /*from*/) {
+  m_metrics.Count(flow::Reason::kMalformed);  // only agents are sent these
+}
+
+void BalancerTask::HandlePeer(const decision::Locate& /*m*/,
+                              base::Address /*from*/) {
+  m_metrics.Count(flow::Reason::kMalformed);  // only agents are sent these
+}
+
+void BalancerTask::HandlePeer(const decision::FlowAnswer& m,
+                              base::Address from) {
+  flow::PacketHead head;
+  if (!m.packet.empty()) {
+    auto read = m_format.Read(m.packet);
+    if (!read) {
+      m_metrics.Count(flow::Reason::kMalformed);
+      return;
+    }
+    head = *read;
+  }
+  if (m.holding == decision::Holding::kRefused) {
+    m_metrics.Count(m.reason);
+  }
+  m_router.OnAnswer(m, head, from, Now(), m_actions);
+  Act();
+}
+
+void BalancerTask::HandlePeer(const decision::UpstreamReport& m,
+                              base::Address from) {
+  m_router.OnReport(m, from, Now());
+  NoteRevision(m.revision, from);
+  auto [greeted, added] = m_greeted.try_emplace(from, Now());
+  bool behind = m.revision < m_router.revision();
+  if (added || behind || Now() - greeted->second >= kHelloInterval) {
+    greeted->second = Now();
+    SendHello(from);
+  }
+  CheckReadiness();
+}
+
+void BalancerTask::HandlePeer(const decision::BalancerHello& m,
+                              base::Address from) {
+  NoteRevision(m.revision, from);
+  if (m.leaving) {
+    m_balancers.erase(from);
+    return;
+  }
+  bool added = m_balancers.insert_or_assign(from, Now()).second;
+  for (base::Address balancer : m.balancers) {
+    if (balancer != m_self) {
+      m_balancers.try_emplace(balancer, Now());
+    }
+  }
+  if (added) {
+    SendHello(from);
+  }
+}
+
+void BalancerTask::NoteRevision(uint64_t revision, base::Address from) {
+  if (revision > m_router.revision()) {
+    Post(config::kConfigService,
+         config::ConfigMessage(config::NewerRevision{revision, from}));
+  }
+}
+
+void BalancerTask::Act() {
+  for (const decision::RouterAction& action : m_actions) {
+    std::visit([this](const auto& a) { ActOn(a); }, action);
+  }
+  m_actions.clear();
+  ArmTick();
+}
+
+void BalancerTask::ActOn(const decision::SendForward& action) {
+  SendToPeer(action.message, action.agent);
+}
+
+void BalancerTask::ActOn(const decision::SendLocate& action) {
+  m_metrics.Add("locates_sent");
+  SendToPeer(action.message, action.agent);
+}
+
+void BalancerTask::ActOn(const decision::ResetCaller& action) {
+  m_metrics.Count(action.reason);
+  base::Log(Level::kInfo, "flow_reset",
+            {{"flow", action.flow.Text()},
+             {"reason", std::string(flow::ReasonName(action.reason))},
+             {"revision", std::to_string(m_router.revision())}});
+  if (!m_sockets.callers->Send(m_format.Reset(action.flow, action.sequence),
+                               {action.flow.caller.ip, m_caller_port})) {
+    m_metrics.Count(flow::Reason::kSendFailed);
+  }
+}
+
+void BalancerTask::ActOn(const decision::DropPacket& action) {
+  m_metrics.Count(action.reason);
+}
+
+void BalancerTask::SendToPeer(const wire::PacketMessage& message,
+                              base::Address to) {
+  if (!m_sockets.peers->Send(wire::EncodePacketMessage(message), to)) {
+    m_metrics.Count(flow::Reason::kSendFailed);
+  }
+}
+
+void BalancerTask::ArmTick() {
+  base::Millis due = Now() + m_router.TickDelay();
+  if (due >= m_next_tick) {
+    return;
+  }
+  loop().Cancel(m_tick_timer);
+  m_next_tick = due;
+  m_tick_timer = loop().After(m_router.TickDelay(), [this] { OnTick(); });
+}
+
+void BalancerTask::OnTick() {
+  m_next_tick = base::kNever;
+  m_router.OnTick(Now(), m_actions);
+  Act();
+  CheckReadiness();
+  CheckLeft();
+}
+
+void BalancerTask::CheckReadiness() {
+  bool ready = m_router.IsReady(Now()) && m_left_at == base::kNever;
+  if (ready == m_ready) {
+    return;
+  }
+  m_ready = ready;
+  base::Log(Level::kInfo, ready ? "ready" : "not_ready",
+            {{"revision", std::to_string(m_router.revision())},
+             {"agents", std::to_string(m_router.Agents().size())}});
+  Post(kControlService, ControlMessage(ReadinessChanged{ready}));
+}
+
+void BalancerTask::CheckLeft() {
+  bool left = m_left_at != base::kNever &&
+              Now() - m_left_at >= kLeaveAtLeast &&
+              Now() - m_last_packet >= kLeaveQuiet;
+  if (left) {
+    kernel::NotifyDrained();
+  }
+}
+
+void BalancerTask::OnHelloTimer() {
+  loop().After(kHelloInterval, [this] { OnHelloTimer(); });
+  std::erase_if(m_balancers, [this](const auto& entry) {
+    return Now() - entry.second > kForgetBalancer;
+  });
+  for (const auto& [balancer, heard_at] : m_balancers) {
+    SendHello(balancer);
+  }
+}
+
+void BalancerTask::SendHello(base::Address to) {
+  decision::BalancerHello hello{.revision = m_router.revision(),
+                                .leaving = m_left_at != base::kNever};
+  for (const auto& [balancer, heard_at] : m_balancers) {
+    if (Now() - heard_at < kHelloInterval * 3) {
+      hello.balancers.push_back(balancer);
+    }
+  }
+  SendToPeer(hello, to);
+}
+
+void BalancerTask::SendHellos() {
+  for (const auto& [balancer, heard_at] : m_balancers) {
+    SendHello(balancer);
+  }
+  for (base::Address agent : m_router.Agents()) {
+    m_greeted[agent] = Now();
+    SendHello(agent);
+  }
+}
+
+}  // namespace filberthollow::passthrough
--- /dev/null
+++ b/filberthollow/passthrough/control_task.h
@@ -0,0 +1,73 @@
+// The control service of a passed-through balancer or agent: everything that is
+// spoken over HTTP, but for the platform's object API.
+//
+// It answers the fabric's readiness checks, takes the heartbeats of the
+// upstream, hands the configuration to peers and reads it from them, and checks
+// the upstream's health when asked.
+#ifndef FILBERTHOLLOW_PASSTHROUGH_CONTROL_TASK_H_
+#define FILBERTHOLLOW_PASSTHROUGH_CONTROL_TASK_H_
+
+#include <memory>
+#include <string>
+
+#include "filberthollow/net/http_client.h"
+#include "filberthollow/net/http_server.h"
+#include "filberthollow/net/loop_task.h"
+#include "filberthollow/passthrough/adapter.h"
+#include "filberthollow/passthrough/messages.h"
+#include "filberthollow/passthrough/node_file.h"
+
+namespace filberthollow::passthrough {
+
+class ControlTask final : public net::LoopTask<ControlMessage> {
+ public:
+  // kHealthTimeout bounds a health check; an upstream that is only slow
+  // answers within it.
+  static constexpr base::Millis kHealthTimeout{400};
+  // kCatchUpTimeout bounds the reading of the configuration from a peer; it is
+  // asked again as long as it is ahead.
+  static constexpr base::Millis kCatchUpTimeout{1000};
+
+  ControlTask(const base::Clock& clock,
+              kernel::Registry& registry,
+              const NodeFile& file,
+              const Adapter& adapter);
+
+  // Listen opens the ports; call it before the kernel starts.
+  base::Result<base::Done> Listen();
+
+ protected:
+  void OnStart() override {}
+  void OnMessage(const ControlMessage& message) override;
+
+ private:
+  using ResponderPtr = std::shared_ptr<net::Responder>;
+
+  void Handle(const ReadinessChanged& m) { m_ready = m.ready; }
+  void Handle(const ObjectsHeld& m) { m_objects = m.objects; }
+  void Handle(const CatchUp& m);
+  void Handle(const CheckHealth& m);
+  void Handle(const HealthPath& m) { m_health_path = m.path; }
+
+  void OnReadiness(const net::HttpServerRequest& request,
+                   const ResponderPtr& responder);
+  void OnAnnouncement(const net::HttpServerRequest& request,
+                      const ResponderPtr& responder);
+  void OnPeer(const net::HttpServerRequest& request,
+              const ResponderPtr& responder);
+
+  const NodeFile m_file;
+  const Adapter m_adapter;
+  net::HttpServer m_readiness;
+  net::HttpServer m_announcements;
+  net::HttpServer m_peers;
+  net::HttpClient m_client;
+  bool m_ready = false;
+  bool m_catching_up = false;
+  std::vector<platform::StoredObject> m_objects;
+  std::string m_health_path = "/health";
+};
+
+}  // namespace filberthollow::passthrough
+
+#endif  // FILBERTHOLLOW_PASSTHROUGH_CONTROL_TASK_H_
--- /dev/null
+++ b/filberthollow/platform/announcement.cc
@@ -0,0 +1,66 @@
+#include "filberthollow/platform/announcement.h"
+
+#include <nlohmann/json.hpp>
+#include <string_view>
+
+namespace filberthollow::platform {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kInstancesPath = "/filberthollow/instances/";
+constexpr std::string_view kReadinessPath = "/filberthollow/readiness";
+
+std::optional<decision::UpstreamState> StateOf(const std::string& word) {
+  if (word == "ready") {
+    return decision::UpstreamState::kReady;
+  }
+  if (word == "draining") {
+    return decision::UpstreamState::kDraining;
+  }
+  return std::nullopt;
+}
+
+std::optional<decision::UpstreamBeat> ReadBeat(std::string id,
+                                               const std::string& body) {
+  try {
+    json fields = json::parse(body);
+    auto state = StateOf(fields.at("state").get<std::string>());
+    if (!state || !fields.at("born").is_number_integer() ||
+        !fields.at("sequence").is_number_integer()) {
+      return std::nullopt;
+    }
+    return decision::UpstreamBeat{
+        .id = std::move(id),
+        .service = fields.at("service").get<std::string>(),
+        .started = base::Millis(fields.at("born").get<int64_t>()),
+        .sequence = fields.at("sequence").get<uint64_t>(),
+        .state = *state,
+        .slots = fields.at("slots").get<uint32_t>(),
+        .cold_for = base::Millis(fields.at("coldRemainingMs").get<int64_t>())};
+  } catch (const json::exception&) {
+    return std::nullopt;  // the caller counts it
+  }
+}
+
+}  // namespace
+
+std::optional<decision::UpstreamBeat> ReadAnnouncement(
+    const net::HttpServerRequest& request) {
+  if (!request.path.starts_with(kInstancesPath)) {
+    return std::nullopt;
+  }
+  std::string id = request.path.substr(kInstancesPath.size());
+  if (request.method == "DELETE") {
+    return decision::UpstreamBeat{.id = std::move(id),
+                                  .state = decision::UpstreamState::kGone};
+  }
+  return request.method == "PUT" ? ReadBeat(std::move(id), request.body)
+                                 : std::nullopt;
+}
+
+bool IsReadinessCheck(const net::HttpServerRequest& request) {
+  return request.method == "GET" && request.path == kReadinessPath;
+}
+
+}  // namespace filberthollow::platform
--- a/filberthollow/platform/http_object_store.h
+++ b/filberthollow/platform/http_object_store.h
@@ -1,13 +1,19 @@
-// The object store over its HTTP API:
+// The object store over the platform's HTTP API:
 //
-//   GET /objects/NAME                            -> {name, version, value}
-//   PUT /objects/NAME?if_version=V               -> {version}, or 409 {version}
-//   GET /watch?prefix=P&after=R&wait_ms=W        -> {revision, objects}
+//   GET    /filberthollow/objects/KIND?after=N             one page of a kind
+//   GET    /filberthollow/objects/KIND?watch=R&waitMs=W    what changed since R
+//   GET    /filberthollow/objects/KIND/NAME
+//   POST   /filberthollow/objects/KIND                     creates
+//   PUT    /filberthollow/objects/KIND/NAME                replaces
+//
+// A product name "config/tree/root" is the platform's object "tree~root" of the
+// kind that stands for "config" in a table.
 //
 //   HttpObjectStore store(client, address);
 #ifndef FILBERTHOLLOW_PLATFORM_HTTP_OBJECT_STORE_H_
 #define FILBERTHOLLOW_PLATFORM_HTTP_OBJECT_STORE_H_
 
+#include <memory>
 #include <string>
 
 #include "filberthollow/net/http_client.h"
@@ -15,12 +21,17 @@
 
 namespace filberthollow::platform {
 
+// kOperatorPrefix names the objects that the platform's operator writes.
+inline constexpr const char* kOperatorPrefix = "operator/";
+inline constexpr const char* kOperatorConfig = "operator/main";
+
 // HttpObjectStore belongs to the task that owns the client.
 class HttpObjectStore final : public ObjectStore {
  public:
-  // kCallTimeout bounds a call, besides the time that a watch may wait.
+  // kCallTimeout bounds a call, besides the time that a watch may wait; a slow
+  // platform answers in a few hundred milliseconds.
   static constexpr base::Millis kCallTimeout{3000};
-  // kMaxAnswerBytes bounds an answer: one largest value, escaped, or a list.
+  // kMaxAnswerBytes bounds an answer: one page, which is 1 MB at most, escaped.
   static constexpr size_t kMaxAnswerBytes = size_t{8} << 20;
 
   HttpObjectStore(net::HttpClient& client, base::Address server)
@@ -31,9 +42,24 @@
              uint64_t if_version,
              const std::string& value,
              Handler<WriteAnswer> done) override;
+  void Delete(const std::string& name,
+              uint64_t if_version,
+              Handler<WriteAnswer> done) override;
   void Watch(const WatchQuery& query, Handler<WatchAnswer> done) override;
 
  private:
+  // A list that is read page by page.
+  struct Listing {
+    std::string prefix;
+    WatchAnswer answer;
+    Handler<WatchAnswer> done;
+  };
+
+  void ListPage(const std::shared_ptr<Listing>& listing,
+                const std::string& after);
+  void OnWritten(const net::HttpResult& result,
+                 const std::string& name,
+                 const Handler<WriteAnswer>& done);
   base::Error Failure(const net::HttpResult& result, std::string step) const;
 
   net::HttpClient& m_client;
--- a/filberthollow/platform/object_store.h
+++ b/filberthollow/platform/object_store.h
@@ -24,6 +24,8 @@
 inline constexpr const char* kTreePrefix = "config/tree/";
 inline constexpr const char* kRootObject = "config/tree/root";
 inline constexpr const char* kServicePrefix = "config/tree/service/";
+// kSnapshotObject holds tree and routes together; see config/snapshot.h.
+inline constexpr const char* kSnapshotObject = "config/tree/snapshot";
 inline constexpr const char* kBootstrapPrefix = "bootstrap/";
 
 // StoredObject is one version of an object. Versions are drawn from one
@@ -48,6 +50,9 @@
 struct WatchAnswer {
   uint64_t revision = 0;
   std::vector<StoredObject> objects;
+  // These are all objects that there are: others were deleted. So it is for a
+  // query after revision 0, and where the platform has forgotten the changes.
+  bool complete = false;
   friend bool operator==(const WatchAnswer&, const WatchAnswer&) = default;
 };
 
@@ -78,6 +83,10 @@
                      uint64_t if_version,
                      const std::string& value,
                      Handler<WriteAnswer> done) = 0;
+  // Delete removes an object if its version is still `if_version`.
+  virtual void Delete(const std::string& name,
+                      uint64_t if_version,
+                      Handler<WriteAnswer> done) = 0;
   // Watch waits for changes.
   virtual void Watch(const WatchQuery& query, Handler<WatchAnswer> done) = 0;
 };
--- /dev/null
+++ b/filberthollow/platform/operator_config.cc
@@ -0,0 +1,149 @@
+#include "filberthollow/platform/operator_config.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "filberthollow/base/log.h"
+#include "filberthollow/settings/fields.h"
+
+namespace filberthollow::platform {
+namespace {
+
+using nlohmann::json;
+
+constexpr int64_t kMillisPerSecond = 1000;
+
+// Keeps a number of the operator's within the range that the tree allows.
+uint32_t InRange(std::string_view field_name, int64_t value) {
+  const settings::Field* field = settings::FindField(field_name);
+  return static_cast<uint32_t>(std::clamp<int64_t>(value, field->min,
+                                                   field->max));
+}
+
+// A route's prefix is the port that callers send to, between slashes.
+base::Result<base::Address> RouteAddress(const json& route) {
+  std::string prefix = route.at("pathPrefix").get<std::string>();
+  std::erase(prefix, '/');
+  return base::Address::Parse(
+      fmt::format("{}:{}", route.at("host").get<std::string>(), prefix));
+}
+
+std::vector<settings::RouteShare> SharesOf(const json& route) {
+  std::vector<settings::RouteShare> shares;
+  if (route.contains("split") && route["split"].is_array()) {
+    for (const json& part : route["split"]) {
+      shares.push_back({part.at("service").get<std::string>(),
+                        part.at("weight").get<uint32_t>()});
+    }
+  }
+  if (shares.empty()) {
+    shares.push_back({route.at("service").get<std::string>(), 1});
+  }
+  return shares;
+}
+
+base::Result<settings::Snapshot> Translate(const json& config) {
+  settings::Snapshot snapshot;
+  if (config.contains("limits") &&
+      config["limits"].contains("idleTimeoutMs")) {
+    // Rounded up: a flow is kept a little longer rather than cut too early.
+    int64_t idle_ms = config["limits"]["idleTimeoutMs"].get<int64_t>();
+    snapshot.tree.root.idle_flow_s = InRange(
+        "idle_flow_s", (idle_ms + kMillisPerSecond - 1) / kMillisPerSecond);
+  }
+  for (const json& service : config.at("services")) {
+    std::string name = service.at("name").get<std::string>();
+    settings::ServiceNode& node = snapshot.tree.services[name];
+    if (service.contains("healthPath")) {
+      snapshot.health_paths[name] = service["healthPath"].get<std::string>();
+    }
+    if (service.contains("connectionLimit")) {
+      node.overrides.connections =
+          InRange("connections", service["connectionLimit"].get<int64_t>());
+    }
+  }
+  for (const json& route : config.at("routes")) {
+    auto address = RouteAddress(route);
+    if (!address) {
+      return address.error().At("read route", route.at("name"));
+    }
+    snapshot.routes.push_back(
+        {.name = route.at("name").get<std::string>(),
+         .address = *address,
+         .idempotent = route.value("kind", "unsafe") != "unsafe",
+         .shares = SharesOf(route)});
+  }
+  return snapshot;
+}
+
+// Replaces the operator's objects by the snapshot that they stand for.
+WatchAnswer AsSnapshot(const WatchAnswer& answer) {
+  WatchAnswer out{.revision = answer.revision};
+  for (const StoredObject& object : answer.objects) {
+    if (object.name != kOperatorConfig || !object.value) {
+      continue;
+    }
+    auto snapshot = ParseOperatorConfig(*object.value);
+    if (!snapshot) {
+      base::Log(base::Level::kError, "operator_config_refused",
+                {{"revision", std::to_string(object.version)},
+                 {"error", snapshot.error().Text()}});
+      continue;
+    }
+    out.objects.push_back({.name = kSnapshotObject,
+                           .version = object.version,
+                           .value = settings::SnapshotText(*snapshot)});
+  }
+  return out;
+}
+
+}  // namespace
+
+base::Result<settings::Snapshot> ParseOperatorConfig(std::string_view text) {
+  try {
+    return Translate(json::parse(text));
+  } catch (const json::exception& error) {
+    return base::MakeError(std::errc::invalid_argument, "read configuration",
+                           kOperatorConfig, error.what());
+  }
+}
+
+void OperatorConfigStore::Read(const std::string& name,
+                               Handler<StoredObject> done) {
+  m_store.Read(name, std::move(done));
+}
+
+void OperatorConfigStore::Write(const std::string& name,
+                                uint64_t if_version,
+                                const std::string& value,
+                                Handler<WriteAnswer> done) {
+  m_store.Write(name, if_version, value, std::move(done));
+}
+
+void OperatorConfigStore::Delete(const std::string& name,
+                                 uint64_t if_version,
+                                 Handler<WriteAnswer> done) {
+  m_store.Delete(name, if_version, std::move(done));
+}
+
+void OperatorConfigStore::Watch(const WatchQuery& query,
+                                Handler<WatchAnswer> done) {
+  if (query.prefix != kConfigPrefix) {
+    m_store.Watch(query, std::move(done));
+    return;
+  }
+  WatchQuery operators = query;
+  operators.prefix = kOperatorPrefix;
+  m_store.Watch(operators, [done](const base::Result<WatchAnswer>& answer) {
+    if (!answer) {
+      done(answer.error());
+      return;
+    }
+    done(AsSnapshot(*answer));
+  });
+}
+
+}  // namespace filberthollow::platform
--- a/filberthollow/programs/filberthollow_standin.cc
+++ b/filberthollow/programs/filberthollow_standin.cc
@@ -29,7 +29,7 @@
             {{"role", role}, {"http", address->Text()}});
   kernel.Add(std::move(task));
   kernel.Start();
-  kernel::WaitForWakeup(-1);
+  kernel::WaitForStop();
   kernel.Stop();
   return 0;
 }
--- /dev/null
+++ b/filberthollow/settings/routes.cc
@@ -0,0 +1,136 @@
+#include "filberthollow/settings/routes.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "filberthollow/settings/json_reader.h"
+#include "filberthollow/settings/tree_json.h"
+
+namespace filberthollow::settings {
+namespace {
+
+using nlohmann::json;
+
+constexpr uint32_t kMaxWeight = 1'000'000;
+
+base::Error NotAList(const std::string& path, const json& found) {
+  return base::MakeError(
+      std::errc::invalid_argument, "read settings", path,
+      fmt::format("found {}, expected a list", found.type_name()));
+}
+
+base::Result<RouteShare> ReadShare(const json& value, std::string path) {
+  ObjectReader reader(value, std::move(path));
+  RouteShare share{reader.Text("service"),
+                   reader.Number("weight", 0, kMaxWeight, 1)};
+  if (auto error = reader.Finish()) {
+    return *error;
+  }
+  return share;
+}
+
+// Reads each member of a list with `read`.
+template <class T>
+base::Result<std::vector<T>> ReadList(const json& list,
+                                      const std::string& path,
+                                      base::Result<T> (*read)(const json&,
+                                                              std::string)) {
+  if (!list.is_array()) {
+    return NotAList(path, list);
+  }
+  std::vector<T> values;
+  for (const json& item : list) {
+    auto value = read(item, fmt::format("{}[{}]", path, values.size()));
+    if (!value) {
+      return value.error();
+    }
+    values.push_back(std::move(*value));
+  }
+  return values;
+}
+
+base::Result<Route> ReadRoute(const json& value, std::string path) {
+  ObjectReader reader(value, path);
+  Route route{.name = reader.Text("name"),
+              .address = reader.AddressOf("address")};
+  const json* idempotent = reader.Raw("idempotent");
+  const json* shares = reader.Raw("shares");
+  if (idempotent == nullptr || !idempotent->is_boolean()) {
+    reader.Fail("idempotent", "no truth value", "true or false");
+  }
+  if (shares == nullptr) {
+    reader.Fail("shares", "nothing", "a list");
+  }
+  if (auto error = reader.Finish()) {
+    return *error;
+  }
+  route.idempotent = idempotent->get<bool>();
+  auto read = ReadList<RouteShare>(*shares, path + ".shares", &ReadShare);
+  if (!read) {
+    return read.error();
+  }
+  route.shares = std::move(*read);
+  return route;
+}
+
+json RouteJson(const Route& route) {
+  json shares = json::array();
+  for (const RouteShare& share : route.shares) {
+    shares.push_back({{"service", share.service}, {"weight", share.weight}});
+  }
+  return {{"name", route.name},
+          {"address", route.address.Text()},
+          {"idempotent", route.idempotent},
+          {"shares", shares}};
+}
+
+}  // namespace
+
+base::Result<Snapshot> ParseSnapshot(std::string_view text,
+                                     std::string_view source) {
+  base::Result<json> parsed = ParseJson(text, source);
+  if (!parsed) {
+    return parsed.error();
+  }
+  json routes = json::array();
+  if (parsed->is_object() && parsed->contains("routes")) {
+    routes = (*parsed)["routes"];
+    parsed->erase("routes");
+  }
+  std::map<std::string, std::string> health_paths;
+  if (parsed->is_object() && parsed->contains("health_paths")) {
+    for (const auto& [service, path] : (*parsed)["health_paths"].items()) {
+      if (!path.is_string()) {
+        return base::MakeError(std::errc::invalid_argument, "read settings",
+                               std::string(source) + ".health_paths." + service,
+                               "expected a path");
+      }
+      health_paths[service] = path.get<std::string>();
+    }
+    parsed->erase("health_paths");
+  }
+  auto tree = ParseTree(parsed->dump(), source);
+  if (!tree) {
+    return tree.error();
+  }
+  auto read =
+      ReadList<Route>(routes, std::string(source) + ".routes", &ReadRoute);
+  if (!read) {
+    return read.error();
+  }
+  return Snapshot{std::move(*tree), std::move(*read), std::move(health_paths)};
+}
+
+std::string SnapshotText(const Snapshot& snapshot) {
+  json out = TreeJson(snapshot.tree);
+  out["routes"] = json::array();
+  for (const Route& route : snapshot.routes) {
+    out["routes"].push_back(RouteJson(route));
+  }
+  out["health_paths"] = snapshot.health_paths;
+  return out.dump();
+}
+
+}  // namespace filberthollow::settings
--- a/filberthollow/standins/platform_task.cc
+++ b/filberthollow/standins/platform_task.cc
@@ -1,5 +1,7 @@
 #include "filberthollow/standins/platform_task.h"
 
+#include <fmt/format.h>
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -8,7 +10,8 @@
 
 using nlohmann::json;
 
-constexpr std::string_view kObjectsPath = "/objects/";
+constexpr std::string_view kObjectsPath = "/filberthollow/objects/";
+constexpr uint16_t kHttpCreated = 201;
 
 uint64_t NumberOf(const std::string& text) {
   return text.empty() ? 0 : std::strtoull(text.c_str(), nullptr, 10);
@@ -65,112 +68,145 @@
 
 void PlatformTask::Handle(const net::HttpServerRequest& request,
                           const ResponderPtr& responder) {
-  if (request.path == "/watch") {
-    ++m_calls.watches;
-    OnWatch(request, responder);
-    return;
-  }
   if (!request.path.starts_with(kObjectsPath)) {
     responder->Answer({.status = net::kHttpNotFound, .body = "{}"});
     return;
   }
-  std::string name = request.path.substr(kObjectsPath.size());
-  if (request.method == "GET") {
+  std::string rest = request.path.substr(kObjectsPath.size());
+  size_t slash = rest.find('/');
+  ObjectName name{rest.substr(0, slash),
+                  slash == rest.npos ? "" : rest.substr(slash + 1)};
+  if (request.method != "GET") {
+    ++m_calls.writes;
+    OnWrite(std::move(name), request, responder);
+  } else if (!name.name.empty()) {
     ++m_calls.reads;
     OnRead(name, responder);
+  } else if (request.Parameter("watch").empty()) {
+    ++m_calls.reads;
+    OnList(name.kind, responder);
   } else {
-    ++m_calls.writes;
-    OnWrite(name, request, responder);
+    ++m_calls.watches;
+    OnWatch(name.kind, request, responder);
   }
 }
 
-void PlatformTask::OnRead(const std::string& name,
+std::string PlatformTask::ObjectJson(const ObjectName& name,
+                                     const Object& object) {
+  return fmt::format(
+      R"({{"meta":{{"name":{},"revision":{}}},"spec":{},"status":null}})",
+      json(name.name).dump(), object.version, object.spec);
+}
+
+void PlatformTask::OnRead(const ObjectName& name,
                           const ResponderPtr& responder) {
   auto object = m_objects.find(name);
   if (object == m_objects.end() || object->second.deleted) {
     responder->Answer({.status = net::kHttpNotFound, .body = "{}"});
     return;
   }
-  json answer{{"name", name},
-              {"version", object->second.version},
-              {"value", object->second.value}};
-  responder->Answer({.body = answer.dump()});
+  responder->Answer({.body = ObjectJson(name, object->second)});
+}
+
+void PlatformTask::OnList(const std::string& kind,
+                          const ResponderPtr& responder) {
+  std::string items;
+  for (const auto& [name, object] : m_objects) {
+    if (name.kind == kind && !object.deleted) {
+      items += (items.empty() ? "" : ",") + ObjectJson(name, object);
+    }
+  }
+  responder->Answer(
+      {.body = fmt::format(R"({{"items":[{}],"hasMore":false,"at":{}}})", items,
+                           m_revision)});
 }
 
-void PlatformTask::OnWrite(const std::string& name,
+void PlatformTask::OnWrite(ObjectName name,
                            const net::HttpServerRequest& request,
                            const ResponderPtr& responder) {
+  json body = json::parse(request.body, nullptr, false);
+  bool create = request.method == "POST";
+  uint64_t expected = NumberOf(request.Parameter("revision"));
+  if (body.is_object() && body.contains("meta")) {
+    expected = body["meta"].value("revision", expected);
+    name.name = create ? body["meta"].value("name", "") : name.name;
+  }
   auto found = m_objects.find(name);
   bool exists = found != m_objects.end() && !found->second.deleted;
-  uint64_t present = exists ? found->second.version : 0;
-  if (NumberOf(request.Parameter("if_version")) != present) {
-    json answer{{"version", present}};
-    responder->Answer({.status = net::kHttpConflict, .body = answer.dump()});
+  if (!create && !exists) {
+    responder->Answer({.status = net::kHttpNotFound, .body = "{}"});
+    return;
+  }
+  if (exists && (create || found->second.version != expected)) {
+    responder->Answer({.status = net::kHttpConflict,
+                       .body = ObjectJson(name, found->second)});
     return;
   }
-  m_objects[name] = Object{.version = ++m_revision,
-                           .value = request.body,
-                           .deleted = request.method == "DELETE"};
+  Object& object = m_objects[name];
+  object.version = ++m_revision;
+  object.deleted = request.method == "DELETE";
+  if (!object.deleted) {
+    object.spec = body.is_object() ? body["spec"].dump() : "null";
+  }
   AnswerWaiting();
   if (m_faults.lose_answers > 0) {
     --m_faults.lose_answers;
     responder->Abort();
     return;
   }
-  json answer{{"version", m_revision}};
-  responder->Answer({.body = answer.dump()});
+  responder->Answer({.status = create ? kHttpCreated : net::kHttpOk,
+                     .body = ObjectJson(name, object)});
 }
 
-void PlatformTask::OnWatch(const net::HttpServerRequest& request,
+void PlatformTask::OnWatch(const std::string& kind,
+                           const net::HttpServerRequest& request,
                            const ResponderPtr& responder) {
-  std::string prefix = request.Parameter("prefix");
-  uint64_t after = NumberOf(request.Parameter("after"));
-  uint64_t wait = NumberOf(request.Parameter("wait_ms"));
-  if (wait == 0 || HasChanges(prefix, after)) {
-    responder->Answer({.body = ChangesJson(prefix, after)});
+  uint64_t after = NumberOf(request.Parameter("watch"));
+  uint64_t wait = NumberOf(request.Parameter("waitMs"));
+  if (wait == 0 || HasChanges(kind, after)) {
+    responder->Answer({.body = ChangesJson(kind, after)});
     return;
   }
-  m_waiting.push_back({prefix, after, responder});
+  m_waiting.push_back({kind, after, responder});
   auto forget = [this, raw = responder.get()] {
     m_waiting.remove_if(
         [raw](const Waiting& w) { return w.responder.get() == raw; });
   };
   responder->SetOnClosed(forget);
   loop().After(base::Millis(static_cast<int64_t>(wait)),
-               [this, forget, responder, prefix, after] {
-                 responder->Answer({.body = ChangesJson(prefix, after)});
+               [this, forget, responder, kind, after] {
+                 responder->Answer({.body = ChangesJson(kind, after)});
                  forget();
                });
 }
 
-bool PlatformTask::HasChanges(const std::string& prefix, uint64_t after) const {
+bool PlatformTask::HasChanges(const std::string& kind, uint64_t after) const {
   for (const auto& [name, object] : m_objects) {
-    if (object.version > after && name.starts_with(prefix)) {
+    if (object.version > after && name.kind == kind) {
       return true;
     }
   }
   return false;
 }
 
-std::string PlatformTask::ChangesJson(const std::string& prefix,
+std::string PlatformTask::ChangesJson(const std::string& kind,
                                       uint64_t after) const {
-  json objects = json::array();
+  std::string events;
   for (const auto& [name, object] : m_objects) {
-    if (object.version > after && name.starts_with(prefix)) {
-      objects.push_back(
-          {{"name", name},
-           {"version", object.version},
-           {"value", object.deleted ? json() : json(object.value)}});
+    if (object.version > after && name.kind == kind) {
+      events += fmt::format(R"({}{{"removed":{},"object":{}}})",
+                            events.empty() ? "" : ",", object.deleted,
+                            ObjectJson(name, object));
     }
   }
-  return json{{"revision", m_revision}, {"objects", objects}}.dump();
+  return fmt::format(R"({{"events":[{}],"at":{}}})", events, m_revision);
 }
 
 void PlatformTask::AnswerWaiting() {
   for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
-    if (HasChanges(waiting->prefix, waiting->after)) {
+    if (HasChanges(waiting->kind, waiting->after)) {
       waiting->responder->Answer(
-          {.body = ChangesJson(waiting->prefix, waiting->after)});
+          {.body = ChangesJson(waiting->kind, waiting->after)});
       waiting = m_waiting.erase(waiting);
     } else {
       ++waiting;
--- a/filberthollow/standins/platform_task.h
+++ b/filberthollow/standins/platform_task.h
@@ -38,13 +38,18 @@
  private:
   using ResponderPtr = std::shared_ptr<net::Responder>;
 
+  struct ObjectName {
+    std::string kind;
+    std::string name;
+    friend auto operator<=>(const ObjectName&, const ObjectName&) = default;
+  };
   struct Object {
     uint64_t version = 0;
-    std::string value;
+    std::string spec;  // JSON text
     bool deleted = false;
   };
   struct Waiting {
-    std::string prefix;
+    std::string kind;
     uint64_t after = 0;
     ResponderPtr responder;
   };
@@ -65,19 +70,22 @@
               const ResponderPtr& responder);
   void OnFaults(const net::HttpServerRequest& request,
                 const ResponderPtr& responder);
-  void OnRead(const std::string& name, const ResponderPtr& responder);
-  void OnWrite(const std::string& name,
+  void OnRead(const ObjectName& name, const ResponderPtr& responder);
+  void OnList(const std::string& kind, const ResponderPtr& responder);
+  void OnWrite(ObjectName name,
                const net::HttpServerRequest& request,
                const ResponderPtr& responder);
-  void OnWatch(const net::HttpServerRequest& request,
+  void OnWatch(const std::string& kind,
+               const net::HttpServerRequest& request,
                const ResponderPtr& responder);
-  std::string ChangesJson(const std::string& prefix, uint64_t after) const;
-  bool HasChanges(const std::string& prefix, uint64_t after) const;
+  static std::string ObjectJson(const ObjectName& name, const Object& object);
+  std::string ChangesJson(const std::string& kind, uint64_t after) const;
+  bool HasChanges(const std::string& kind, uint64_t after) const;
   void AnswerWaiting();
 
   const base::Address m_address;
   net::HttpServer m_server;
-  std::map<std::string, Object> m_objects;
+  std::map<ObjectName, Object> m_objects;
   uint64_t m_revision = 0;
   std::list<Waiting> m_waiting;
   Faults m_faults;
--- /dev/null
+++ b/filberthollow/wire/packet_codec.cc
@@ -0,0 +1,195 @@
+#include "filberthollow/wire/packet_codec.h"
+
+#include <algorithm>
+
+#include "filberthollow/wire/capnp_frame.h"
+#include "filberthollow/wire/generated/packets.capnp.h"
+
+namespace filberthollow::wire {
+namespace {
+
+using base::Value;
+using decision::BalancerHello;
+using decision::FlowAnswer;
+using decision::Forward;
+using decision::Locate;
+using decision::UpstreamLoad;
+using decision::UpstreamReport;
+
+using Builder = generated::PacketMessage::Builder;
+
+capnp::Data::Reader DataOf(const std::string& bytes) {
+  return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
+}
+
+std::string TextOf(capnp::Data::Reader data) {
+  return {reinterpret_cast<const char*>(data.begin()), data.size()};
+}
+
+void Write(const flow::FlowEnds& flow, generated::FlowEnds::Builder out) {
+  out.setCallerIp(flow.caller.ip);
+  out.setCallerPort(flow.caller.port);
+  out.setRouteIp(flow.route.ip);
+  out.setRoutePort(flow.route.port);
+}
+
+flow::FlowEnds Read(generated::FlowEnds::Reader in) {
+  return {{in.getCallerIp(), in.getCallerPort()},
+          {in.getRouteIp(), in.getRoutePort()}};
+}
+
+void Write(const UpstreamLoad& load, generated::UpstreamLoad::Builder out) {
+  out.setSlots(load.slots);
+  out.setBusy(load.busy);
+  out.setOpen(load.open);
+  out.setBusyMean(load.busy_mean);
+  out.setColdMs(load.cold_ms);
+}
+
+UpstreamLoad Read(generated::UpstreamLoad::Reader in) {
+  return {.slots = in.getSlots(),
+          .busy = in.getBusy(),
+          .open = in.getOpen(),
+          .busy_mean = in.getBusyMean(),
+          .cold_ms = in.getColdMs()};
+}
+
+void Write(const Forward& m, Builder message) {
+  auto out = message.initForward();
+  out.setRevision(m.revision);
+  out.setGuess(m.guess);
+  out.setPacket(DataOf(m.packet));
+}
+
+bool Read(generated::Forward::Reader in, PacketMessage& out) {
+  out = Forward{in.getRevision(), in.getGuess(), TextOf(in.getPacket())};
+  return true;
+}
+
+void Write(const Locate& m, Builder message) {
+  auto out = message.initLocate();
+  Write(m.flow, out.initFlow());
+  out.setAcknowledged(m.acknowledged);
+}
+
+bool Read(generated::Locate::Reader in, PacketMessage& out) {
+  out = Locate{Read(in.getFlow()), in.getAcknowledged()};
+  return true;
+}
+
+void Write(const FlowAnswer& m, Builder message) {
+  auto out = message.initAnswer();
+  Write(m.flow, out.initFlow());
+  Write(m.load, out.initLoad());
+  out.setHolding(static_cast<uint8_t>(m.holding));
+  out.setReason(static_cast<uint8_t>(m.reason));
+  out.setPacket(DataOf(m.packet));
+}
+
+bool Read(generated::FlowAnswer::Reader in, PacketMessage& out) {
+  if (in.getHolding() > static_cast<uint8_t>(decision::Holding::kRefused) ||
+      !flow::IsReason(in.getReason())) {
+    return false;
+  }
+  out = FlowAnswer{.flow = Read(in.getFlow()),
+                   .holding = static_cast<decision::Holding>(in.getHolding()),
+                   .reason = static_cast<flow::Reason>(in.getReason()),
+                   .load = Read(in.getLoad()),
+                   .packet = TextOf(in.getPacket())};
+  return true;
+}
+
+void Write(const UpstreamReport& m, Builder message) {
+  auto out = message.initReport();
+  out.setService(Value(m.service));
+  out.setDataCentre(m.data_centre);
+  out.setRun(m.run);
+  out.setState(static_cast<uint8_t>(m.state));
+  out.setSilent(m.silent);
+  Write(m.load, out.initLoad());
+  out.setRevision(m.revision);
+  out.setIntervalMs(static_cast<uint16_t>(
+      std::clamp<int64_t>(m.interval.count(), 0, UINT16_MAX)));
+}
+
+bool Read(generated::UpstreamReport::Reader in, PacketMessage& out) {
+  if (in.getState() > static_cast<uint8_t>(decision::UpstreamState::kGone)) {
+    return false;
+  }
+  out = UpstreamReport{
+      .service = base::ServiceId{in.getService()},
+      .data_centre = in.getDataCentre(),
+      .run = in.getRun(),
+      .state = static_cast<decision::UpstreamState>(in.getState()),
+      .silent = in.getSilent(),
+      .load = Read(in.getLoad()),
+      .revision = in.getRevision(),
+      .interval = base::Millis(in.getIntervalMs())};
+  return true;
+}
+
+void Write(const BalancerHello& m, Builder message) {
+  auto out = message.initHello();
+  out.setRevision(m.revision);
+  out.setLeaving(m.leaving);
+  auto count =
+      static_cast<uint32_t>(std::min(m.balancers.size(), kMaxHelloBalancers));
+  auto ips = out.initBalancerIps(count);
+  auto ports = out.initBalancerPorts(count);
+  for (uint32_t i = 0; i < count; ++i) {
+    ips.set(i, m.balancers[i].ip);
+    ports.set(i, m.balancers[i].port);
+  }
+}
+
+bool Read(generated::BalancerHello::Reader in, PacketMessage& out) {
+  auto ips = in.getBalancerIps();
+  auto ports = in.getBalancerPorts();
+  if (ips.size() != ports.size() || ips.size() > kMaxHelloBalancers) {
+    return false;
+  }
+  BalancerHello hello{.revision = in.getRevision(), .leaving = in.getLeaving()};
+  for (uint32_t i = 0; i < ips.size(); ++i) {
+    hello.balancers.push_back({ips[i], ports[i]});
+  }
+  out = std::move(hello);
+  return true;
+}
+
+bool ReadMessage(generated::PacketMessage::Reader in, PacketMessage& out) {
+  switch (in.which()) {
+    case generated::PacketMessage::FORWARD:
+      return Read(in.getForward(), out);
+    case generated::PacketMessage::LOCATE:
+      return Read(in.getLocate(), out);
+    case generated::PacketMessage::ANSWER:
+      return Read(in.getAnswer(), out);
+    case generated::PacketMessage::REPORT:
+      return Read(in.getReport(), out);
+    case generated::PacketMessage::HELLO:
+      return Read(in.getHello(), out);
+  }
+  return false;  // of a newer release
+}
+
+}  // namespace
+
+std::string EncodePacketMessage(const PacketMessage& message) {
+  return internal::WriteFrame<generated::PacketMessage>([&](Builder builder) {
+    std::visit([&](const auto& m) { Write(m, builder); }, message);
+  });
+}
+
+Decoded<PacketMessage> DecodePacketMessage(std::string_view datagram) {
+  PacketMessage message;
+  bool valid = internal::ReadFrame<generated::PacketMessage>(
+      datagram, [&](generated::PacketMessage::Reader reader) {
+        return ReadMessage(reader, message);
+      });
+  if (!valid) {
+    return flow::Reason::kMalformed;
+  }
+  return message;
+}
+
+}  // namespace filberthollow::wire
--- /dev/null
+++ b/filberthollow/wire/packet_codec.h
@@ -0,0 +1,33 @@
+// Encoding of what balancers and agents of passed-through flows send each
+// other. The datagrams stay inside the fleet's own network and are not sealed.
+//
+//   std::string datagram = EncodePacketMessage(Forward{...});
+//   Decoded<PacketMessage> message = DecodePacketMessage(bytes);
+#ifndef FILBERTHOLLOW_WIRE_PACKET_CODEC_H_
+#define FILBERTHOLLOW_WIRE_PACKET_CODEC_H_
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "filberthollow/decision/packet_messages.h"
+#include "filberthollow/wire/codec.h"
+
+namespace filberthollow::wire {
+
+using PacketMessage = std::variant<decision::Forward,
+                                   decision::Locate,
+                                   decision::FlowAnswer,
+                                   decision::UpstreamReport,
+                                   decision::BalancerHello>;
+
+// kMaxHelloBalancers bounds the balancers that one hello names, so that it fits
+// one datagram.
+inline constexpr size_t kMaxHelloBalancers = 128;
+
+std::string EncodePacketMessage(const PacketMessage& message);
+Decoded<PacketMessage> DecodePacketMessage(std::string_view datagram);
+
+}  // namespace filberthollow::wire
+
+#endif  // FILBERTHOLLOW_WIRE_PACKET_CODEC_H_
--- /dev/null
+++ b/filberthollow/wire/packets.capnp
@@ -0,0 +1,68 @@
+@0xd1a7c93e5b20f846;
+# Datagrams between balancers and agents of passed-through flows.
+# Regenerate with tools/generate-wire.sh.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("filberthollow::wire::generated");
+
+struct FlowEnds {
+  callerIp @0 :UInt32;
+  routeIp @1 :UInt32;
+  callerPort @2 :UInt16;
+  routePort @3 :UInt16;
+}
+
+struct UpstreamLoad {
+  slots @0 :UInt16;
+  busy @1 :UInt16;
+  open @2 :UInt16;
+  busyMean @3 :UInt16;
+  coldMs @4 :UInt16;
+}
+
+struct Forward {
+  revision @0 :UInt64;
+  guess @1 :Bool;
+  packet @2 :Data;
+}
+
+struct Locate {
+  flow @0 :FlowEnds;
+  acknowledged @1 :UInt32;
+}
+
+struct FlowAnswer {
+  flow @0 :FlowEnds;
+  load @1 :UpstreamLoad;
+  holding @2 :UInt8;
+  reason @3 :UInt8;
+  packet @4 :Data;
+}
+
+struct UpstreamReport {
+  service @0 :UInt64;
+  dataCentre @1 :UInt64;
+  run @2 :UInt64;
+  revision @3 :UInt64;
+  state @4 :UInt8;
+  silent @5 :Bool;
+  intervalMs @6 :UInt16;
+  load @7 :UpstreamLoad;
+}
+
+struct BalancerHello {
+  revision @0 :UInt64;
+  leaving @1 :Bool;
+  balancerIps @2 :List(UInt32);
+  balancerPorts @3 :List(UInt16);
+}
+
+struct PacketMessage {
+  union {
+    forward @0 :Forward;
+    locate @1 :Locate;
+    answer @2 :FlowAnswer;
+    report @3 :UpstreamReport;
+    hello @4 :BalancerHello;
+  }
+}
