--- /dev/null
+++ b/filberthollow/decision/balancer_set.h
@@ -0,0 +1,64 @@
+// The balancers that a process knows, and when each was last heard of.
+//
+//   BalancerSet balancers(own_address);
+//   balancers.Hear(from, now);
+//   for (base::Address to : balancers.Lively(now)) { ... }
+#ifndef FILBERTHOLLOW_DECISION_BALANCER_SET_H_
+#define FILBERTHOLLOW_DECISION_BALANCER_SET_H_
+
+#include <map>
+#include <vector>
+
+#include "filberthollow/base/address.h"
+#include "filberthollow/base/clock.h"
+
+namespace filberthollow::decision {
+
+// BalancerSet belongs to one task.
+class BalancerSet {
+ public:
+  // kLivelyFor: a balancer says hello every second; after a few were lost it
+  // counts as silent.
+  static constexpr base::Millis kLivelyFor{5000};
+  // kForgetAfter is when a silent balancer is dropped; one that comes back
+  // later is found again through the others.
+  static constexpr base::Millis kForgetAfter{30'000};
+
+  // `self` is never added.
+  explicit BalancerSet(base::Address self) : m_self(self) {}
+
+  // Add takes a balancer that others have named; returns whether it is new.
+  bool Add(base::Address balancer, base::Millis now);
+  // Hear takes a sign of life; returns whether the balancer is new. A balancer
+  // that is leaving still serves and is to be told everything.
+  bool Hear(base::Address balancer, bool leaving, base::Millis now);
+  // Forget drops those that were silent for too long.
+  void Forget(base::Millis now);
+
+  // Lively returns those that were heard of lately, Silent the others.
+  std::vector<base::Address> Lively(base::Millis now) const;
+  std::vector<base::Address> Silent(base::Millis now) const;
+  // Staying returns the lively ones that are not leaving.
+  std::vector<base::Address> Staying(base::Millis now) const;
+  size_t size() const { return m_balancers.size(); }
+
+ private:
+  struct Entry {
+    base::Millis heard_at;
+    bool heard = false;
+    bool leaving = false;
+  };
+
+  static bool IsLively(const Entry& entry, base::Millis now) {
+    return entry.heard && now - entry.heard_at < kLivelyFor;
+  }
+  template <class Keep>
+  std::vector<base::Address> Select(Keep keep) const;
+
+  const base::Address m_self;
+  std::map<base::Address, Entry> m_balancers;
+};
+
+}  // namespace filberthollow::decision
+
+#endif  // FILBERTHOLLOW_DECISION_BALANCER_SET_H_
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -30,12 +30,12 @@
                      const Adapter& adapter,
                      AgentSockets sockets)
     : LoopTask(clock, registry, kPacketsService),
-      m_self(file.peers),
       m_upstream(file.upstream),
       m_caller_port(file.caller_port),
       m_format(*adapter.packets),
       m_sockets(std::move(sockets)),
-      m_gate(GateOptionsOf(file), clock.Now()) {}
+      m_gate(GateOptionsOf(file), clock.Now()),
+      m_balancers(file.peers) {}
 
 void AgentTask::OnStart() {
   auto outbound = m_sockets.outbound->Watch(loop(), [this](auto bytes,
@@ -61,16 +61,16 @@
 
 void AgentTask::Handle(const RoutesChanged& m) {
   m_gate.SetRoutes(m.routes);
-  SendReports(false);
+  ReportToLively();
 }
 
 void AgentTask::Handle(const PeersFound& m) {
   bool news = false;
   for (base::Address balancer : m.balancers) {
-    news |= m_balancers.try_emplace(balancer, Balancer{Now()}).second;
+    news |= m_balancers.Add(balancer, Now());
   }
   if (news) {
-    SendReports(true);
+    SendReports(m_balancers.Silent(Now()));
   }
 }
 
@@ -97,7 +97,7 @@
 void AgentTask::Handle(const LeaveFleet& /*m*/) {
   m_left_at = Now();
   m_last_packet = Now();
-  SendReports(false);
+  ReportToLively();
 }
 
 void AgentTask::Handle(const admin::ReportQuery& m) {
@@ -163,11 +163,7 @@
     Post(config::kConfigService,
          config::ConfigMessage(config::NewerRevision{m.revision, from}));
   }
-  if (m.leaving) {
-    m_balancers.erase(from);
-  } else {
-    m_balancers[from] = Balancer{Now(), true};
-  }
+  m_balancers.Hear(from, m.leaving, Now());
   Handle(PeersFound{m.balancers});
 }
 
@@ -219,7 +215,7 @@
 }
 
 void AgentTask::ActOn(const decision::ReportNow& /*action*/) {
-  SendReports(false);
+  ReportToLively();
 }
 
 void AgentTask::SendToPeer(const wire::PacketMessage& message,
@@ -255,38 +251,27 @@
 
 void AgentTask::OnReportTimer() {
   loop().After(ReportInterval(), [this] { OnReportTimer(); });
-  SendReports(false);
+  ReportToLively();
 }
 
 void AgentTask::OnSearchTimer() {
   loop().After(kSearchInterval, [this] { OnSearchTimer(); });
-  std::erase_if(m_balancers, [this](const auto& entry) {
-    return Now() - entry.second.heard_at > kForgetBalancer;
-  });
-  SendReports(true);
-  bool heard = std::any_of(
-      m_balancers.begin(), m_balancers.end(), [this](const auto& entry) {
-        return entry.second.heard &&
-               Now() - entry.second.heard_at < kSilentBalancer;
-      });
-  if (!heard) {
+  m_balancers.Forget(Now());
+  SendReports(m_balancers.Silent(Now()));
+  if (m_balancers.Lively(Now()).empty()) {
     Post(config::kConfigService,
          config::ConfigMessage(config::BalancersWanted{}));
   }
 }
 
-void AgentTask::SendReports(bool to_silent) {
+void AgentTask::SendReports(const std::vector<base::Address>& balancers) {
   decision::UpstreamReport report = m_gate.Report(Now());
   report.interval = ReportInterval();
   if (m_left_at != base::kNever && report.state == UpstreamState::kReady) {
     report.state = UpstreamState::kDraining;  // new flows would be cut
   }
-  for (const auto& [address, balancer] : m_balancers) {
-    bool silent =
-        !balancer.heard || Now() - balancer.heard_at >= kSilentBalancer;
-    if (silent == to_silent) {
-      SendToPeer(report, address);
-    }
+  for (base::Address balancer : balancers) {
+    SendToPeer(report, balancer);
   }
 }
 
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -4,10 +4,11 @@
 #ifndef FILBERTHOLLOW_PASSTHROUGH_AGENT_TASK_H_
 #define FILBERTHOLLOW_PASSTHROUGH_AGENT_TASK_H_
 
-#include <map>
 #include <memory>
 #include <string_view>
+#include <vector>
 
+#include "filberthollow/decision/balancer_set.h"
 #include "filberthollow/decision/upstream_gate.h"
 #include "filberthollow/metrics/metrics.h"
 #include "filberthollow/net/loop_task.h"
@@ -35,11 +36,8 @@
   // kControlBytesPerSecond bounds the reports: it is what one host may spend
   // on control at the size designed for.
   static constexpr int64_t kControlBytesPerSecond = 3000;
-  // A balancer that was not heard of for kSilentBalancer gets reports only
-  // every kSearchInterval, and none after kForgetBalancer.
-  static constexpr base::Millis kSilentBalancer{5000};
+  // kSearchInterval is the time between reports to silent balancers.
   static constexpr base::Millis kSearchInterval{1000};
-  static constexpr base::Millis kForgetBalancer{30'000};
   // kLeaveQuiet is how long a stopping agent goes on after its upstream has
   // ended: its last packets may still be on their way.
   static constexpr base::Millis kLeaveQuiet{300};
@@ -55,11 +53,6 @@
   void OnMessage(const PacketsMessage& message) override;
 
  private:
-  struct Balancer {
-    base::Millis heard_at;
-    bool heard = false;
-  };
-
   void Handle(const RoutesChanged& m);
   void Handle(const PeersFound& m);
   void Handle(const BeatHeard& m);
@@ -88,18 +81,18 @@
   void OnReportTimer();
   void OnSearchTimer();
   base::Millis ReportInterval() const;
-  void SendReports(bool to_silent);
+  void SendReports(const std::vector<base::Address>& balancers);
+  void ReportToLively() { SendReports(m_balancers.Lively(Now())); }
   void CheckLeft();
   void SendToPeer(const wire::PacketMessage& message, base::Address to);
 
-  const base::Address m_self;
   const base::Address m_upstream;
   const uint16_t m_caller_port;
   const flow::PacketFormat& m_format;
   AgentSockets m_sockets;
   decision::UpstreamGate m_gate;
   decision::GateActions m_actions;
-  std::map<base::Address, Balancer> m_balancers;
+  decision::BalancerSet m_balancers;
   base::Millis m_next_tick{base::kNever};
   net::Loop::TimerId m_tick_timer{};
   base::Millis m_left_at{base::kNever};
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -21,11 +21,11 @@
                            const Adapter& adapter,
                            BalancerSockets sockets)
     : LoopTask(clock, registry, kPacketsService),
-      m_self(file.peers),
       m_caller_port(file.caller_port),
       m_format(*adapter.packets),
       m_sockets(std::move(sockets)),
-      m_router(base::HashBytes(file.data_centre), clock.Now()) {}
+      m_router(base::HashBytes(file.data_centre), clock.Now()),
+      m_balancers(file.peers) {}
 
 void BalancerTask::OnStart() {
   auto callers = m_sockets.callers->Watch(
@@ -54,7 +54,7 @@
 
 void BalancerTask::Handle(const PeersFound& m) {
   for (base::Address balancer : m.balancers) {
-    if (balancer != m_self && m_balancers.try_emplace(balancer, Now()).second) {
+    if (m_balancers.Add(balancer, Now())) {
       SendHello(balancer);
     }
   }
@@ -142,19 +142,10 @@
 void BalancerTask::HandlePeer(const decision::BalancerHello& m,
                               base::Address from) {
   NoteRevision(m.revision, from);
-  if (m.leaving) {
-    m_balancers.erase(from);
-    return;
-  }
-  bool added = m_balancers.insert_or_assign(from, Now()).second;
-  for (base::Address balancer : m.balancers) {
-    if (balancer != m_self) {
-      m_balancers.try_emplace(balancer, Now());
-    }
-  }
-  if (added) {
+  if (m_balancers.Hear(from, m.leaving, Now())) {
     SendHello(from);
   }
+  Handle(PeersFound{m.balancers});
 }
 
 void BalancerTask::NoteRevision(uint64_t revision, base::Address from) {
@@ -245,29 +236,29 @@
 
 void BalancerTask::OnHelloTimer() {
   loop().After(kHelloInterval, [this] { OnHelloTimer(); });
-  std::erase_if(m_balancers, [this](const auto& entry) {
-    return Now() - entry.second > kForgetBalancer;
-  });
-  for (const auto& [balancer, heard_at] : m_balancers) {
-    SendHello(balancer);
-  }
+  m_balancers.Forget(Now());
+  GreetBalancers();
 }
 
-void BalancerTask::SendHello(base::Address to) {
-  decision::BalancerHello hello{.revision = m_router.revision(),
-                                .leaving = m_left_at != base::kNever};
-  for (const auto& [balancer, heard_at] : m_balancers) {
-    if (Now() - heard_at < kHelloInterval * 3) {
-      hello.balancers.push_back(balancer);
+void BalancerTask::GreetBalancers() {
+  for (const auto& group :
+       {m_balancers.Lively(Now()), m_balancers.Silent(Now())}) {
+    for (base::Address balancer : group) {
+      SendHello(balancer);
     }
   }
-  SendToPeer(hello, to);
+}
+
+void BalancerTask::SendHello(base::Address to) {
+  SendToPeer(
+      decision::BalancerHello{.revision = m_router.revision(),
+                              .leaving = m_left_at != base::kNever,
+                              .balancers = m_balancers.Staying(Now())},
+      to);
 }
 
 void BalancerTask::SendHellos() {
-  for (const auto& [balancer, heard_at] : m_balancers) {
-    SendHello(balancer);
-  }
+  GreetBalancers();
   for (base::Address agent : m_router.Agents()) {
     m_greeted[agent] = Now();
     SendHello(agent);
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string_view>
 
+#include "filberthollow/decision/balancer_set.h"
 #include "filberthollow/decision/flow_router.h"
 #include "filberthollow/metrics/metrics.h"
 #include "filberthollow/net/loop_task.h"
@@ -29,8 +30,6 @@
   // kHelloInterval is the time between hellos; a balancer that starts is known
   // to all within it.
   static constexpr base::Millis kHelloInterval{1000};
-  // kForgetBalancer is when a silent balancer gets no more hellos.
-  static constexpr base::Millis kForgetBalancer{30'000};
   // kLeaveAtLeast: the fabric asks for readiness twice a second and sends
   // packets on until the second refusal.
   static constexpr base::Millis kLeaveAtLeast{1500};
@@ -75,19 +74,19 @@
   void SendHello(base::Address to);
   // Tells every agent and balancer at once.
   void SendHellos();
+  void GreetBalancers();
   void NoteRevision(uint64_t revision, base::Address from);
   void CheckReadiness();
   void CheckLeft();
   void SendToPeer(const wire::PacketMessage& message, base::Address to);
 
-  const base::Address m_self;
   const uint16_t m_caller_port;
   const flow::PacketFormat& m_format;
   BalancerSockets m_sockets;
   decision::FlowRouter m_router;
   decision::RouterActions m_actions;
-  std::map<base::Address, base::Millis> m_balancers;  // and when last heard
-  std::map<base::Address, base::Millis> m_greeted;    // agents
+  decision::BalancerSet m_balancers;  // the others
+  std::map<base::Address, base::Millis> m_greeted;  // agents
   base::Millis m_next_tick{base::kNever};
   net::Loop::TimerId m_tick_timer{};
   bool m_ready = false;
