Find each other sooner after a loss of power

Ruled out: the store (configuration in force 40 ms after the start). Change: agents search every 100 ms at first; balancers pass on a new balancer at once; new flows wait for the first agent; lost flows are reset after 1 s.

--- a/filberthollow/decision/flow_router.cc
+++ b/filberthollow/decision/flow_router.cc
@@ -109,6 +109,11 @@
       offer.tried.size() < kMaxOffers
           ? ChooseUpstream(options, m_data_centre, flow::FlowEndsHash{}(ends))
           : std::nullopt;
+  if (!best && offer.tried.empty() && now - m_started < kCertainAfter) {
+    offer.sent_at = now;
+    offer.agent = {};
+    return true;
+  }
   if (!best) {
     actions.emplace_back(ResetCaller{ends, 0, Reason::kNoAgent});
     return false;
@@ -296,7 +301,8 @@
 void FlowRouter::TickOffers(base::Millis now, RouterActions& actions) {
   for (auto offer = m_offers.begin(); offer != m_offers.end();) {
     bool out = true;
-    if (now - offer->second.sent_at >= kOfferPatience) {
+    bool waits = offer->second.tried.empty();
+    if (waits || now - offer->second.sent_at >= kOfferPatience) {
       if (auto agent = m_agents.find(offer->second.agent);
           agent != m_agents.end()) {
         agent->second.no_answer = true;
--- a/filberthollow/decision/flow_router.h
+++ b/filberthollow/decision/flow_router.h
@@ -77,8 +77,9 @@
   // kForgetAgent is when a silent agent is forgotten; its flows have ended.
   static constexpr base::Millis kForgetAgent{30'000};
   // kCertainAfter: a balancer that has just started may not have heard of all
-  // agents, and does not call a flow lost.
-  static constexpr base::Millis kCertainAfter{2000};
+  // agents. Until then it calls no flow lost, and new flows wait for an agent;
+  // after it, their callers still have time to try elsewhere.
+  static constexpr base::Millis kCertainAfter{1000};
   // kMaxTickGap: see UpstreamGate::kMaxTickGap.
   static constexpr base::Millis kMaxTickGap{350};
   static constexpr base::Millis kBusyTick{20};
@@ -155,7 +156,7 @@
                  base::Millis now,
                  RouterActions& actions);
   // Offers the flow to the next upstream; resets it if there is none left.
-  // Returns whether an offer is out.
+  // Returns whether an offer is out or waits for an agent.
   bool OfferNext(const flow::FlowEnds& ends,
                  Offer& offer,
                  base::Millis now,
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -52,7 +52,12 @@
   }
   ArmTick();
   OnReportTimer();
-  loop().After(kSearchInterval, [this] { OnSearchTimer(); });
+  ArmSearch();
+}
+
+void AgentTask::ArmSearch() {
+  loop().After(m_search_interval, [this] { OnSearchTimer(); });
+  m_search_interval = std::min(m_search_interval * 2, kSearchInterval);
 }
 
 void AgentTask::OnMessage(const PacketsMessage& message) {
@@ -255,13 +260,13 @@
 }
 
 void AgentTask::OnSearchTimer() {
-  loop().After(kSearchInterval, [this] { OnSearchTimer(); });
   m_balancers.Forget(Now());
   SendReports(m_balancers.Silent(Now()));
   if (m_balancers.Lively(Now()).empty()) {
     Post(config::kConfigService,
          config::ConfigMessage(config::BalancersWanted{}));
   }
+  ArmSearch();
 }
 
 void AgentTask::SendReports(const std::vector<base::Address>& balancers) {
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -38,6 +38,10 @@
   static constexpr int64_t kControlBytesPerSecond = 3000;
   // kSearchInterval is the time between reports to silent balancers.
   static constexpr base::Millis kSearchInterval{1000};
+  // kFirstSearchInterval is the same while no balancer is known to live: after
+  // a loss of power all processes start within a few tenths of a second, and
+  // nothing is served until they have found each other.
+  static constexpr base::Millis kFirstSearchInterval{100};
   // kLeaveQuiet is how long a stopping agent goes on after its upstream has
   // ended: its last packets may still be on their way.
   static constexpr base::Millis kLeaveQuiet{300};
@@ -80,6 +84,7 @@
   void ArmTick();
   void OnReportTimer();
   void OnSearchTimer();
+  void ArmSearch();
   base::Millis ReportInterval() const;
   void SendReports(const std::vector<base::Address>& balancers);
   void ReportToLively() { SendReports(m_balancers.Lively(Now())); }
@@ -95,6 +100,7 @@
   decision::BalancerSet m_balancers;
   base::Millis m_next_tick{base::kNever};
   net::Loop::TimerId m_tick_timer{};
+  base::Millis m_search_interval = kFirstSearchInterval;
   base::Millis m_left_at{base::kNever};
   base::Millis m_last_packet{0};
   metrics::Metrics m_metrics;
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -143,7 +143,7 @@
                               base::Address from) {
   NoteRevision(m.revision, from);
   if (m_balancers.Hear(from, m.leaving, Now())) {
-    SendHello(from);
+    SendHellos();  // agents are to report to it from now on
   }
   Handle(PeersFound{m.balancers});
 }
