--- /dev/null
+++ b/filberthollow/decision/flow_router_test.cc
@@ -0,0 +1,258 @@
+#include "filberthollow/decision/flow_router.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+#include "filberthollow/testing/packet_fixtures.h"
+
+namespace filberthollow::decision {
+namespace {
+
+using base::Address;
+using base::Millis;
+using flow::Reason;
+using testing::Data;
+using testing::kDeskFlow;
+using testing::Only;
+using testing::Opening;
+
+constexpr Address kFirst{1, 7000};
+constexpr Address kSecond{2, 7000};
+constexpr Address kThird{3, 7000};
+constexpr uint64_t kHome = 77;
+constexpr Millis kStep{20};
+
+struct Fixture {
+  Millis now{10'000};
+  FlowRouter router{kHome, now};
+  RouterActions actions;
+
+  Fixture() { router.SetRoutes(testing::TwoRoutes(5)); }
+
+  RouterActions Take() { return std::exchange(actions, {}); }
+  void Report(Address agent,
+              base::ServiceId service = testing::kDesk,
+              UpstreamLoad load = {.slots = 4}) {
+    router.OnReport({.service = service,
+                     .data_centre = kHome,
+                     .state = UpstreamState::kReady,
+                     .load = load,
+                     .interval = Millis(200)},
+                    agent, now);
+  }
+  RouterActions FromCaller(const flow::PacketHead& head) {
+    router.OnCallerPacket("p", head, now, actions);
+    return Take();
+  }
+  RouterActions Answer(Address agent,
+                       Holding holding,
+                       Reason reason = {},
+                       std::string packet = "") {
+    router.OnAnswer({.flow = kDeskFlow,
+                     .holding = holding,
+                     .reason = reason,
+                     .packet = std::move(packet)},
+                    Data(101, 500), agent, now, actions);
+    return Take();
+  }
+  // Lets time pass while the agents in `reporting` go on reporting.
+  RouterActions Pass(Millis time, const std::set<Address>& reporting) {
+    RouterActions all;
+    for (Millis end = now + time; now < end;) {
+      now = now + kStep;
+      for (Address agent : reporting) {
+        Report(agent);
+      }
+      router.OnTick(now, actions);
+      for (auto& action : Take()) {
+        all.push_back(action);
+      }
+    }
+    return all;
+  }
+  // Past the time in which a balancer may not know all agents.
+  void Settle(const std::set<Address>& reporting) {
+    Pass(FlowRouter::kCertainAfter + kStep, reporting);
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(AnOpenedFlowStaysWithItsAgent, Fixture) {
+  Report(kFirst);
+  auto offer = Only<SendForward>(FromCaller(Opening()));
+  BOOST_REQUIRE(offer.size() == 1U);
+  BOOST_TEST((offer[0].agent == kFirst));
+  Answer(kFirst, Holding::kHeld);
+  Report(kSecond);
+  auto sent = Only<SendForward>(FromCaller(Data(101, 500)));
+  BOOST_REQUIRE(sent.size() == 1U);
+  BOOST_TEST((sent[0].agent == kFirst));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAddressWithoutARouteIsResetAtOnce, Fixture) {
+  Report(kFirst);
+  auto resets =
+      Only<ResetCaller>(FromCaller(Opening(testing::kUnknownRoute)));
+  BOOST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST((resets[0].reason == Reason::kNoRoute));
+}
+
+BOOST_FIXTURE_TEST_CASE(ARefusedOfferGoesToTheNextUpstream, Fixture) {
+  Settle({kFirst, kSecond});
+  auto first = Only<SendForward>(FromCaller(Opening())).at(0).agent;
+  auto second =
+      Only<SendForward>(Answer(first, Holding::kRefused, Reason::kDraining));
+  BOOST_REQUIRE(second.size() == 1U);
+  BOOST_TEST((second[0].agent != first));
+  auto last =
+      Answer(second[0].agent, Holding::kRefused, Reason::kConnectionLimit);
+  BOOST_REQUIRE(Only<ResetCaller>(last).size() == 1U);
+  BOOST_TEST((Only<ResetCaller>(last)[0].reason == Reason::kNoAgent));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnUnansweredOfferGoesToTheNextUpstream, Fixture) {
+  Settle({kFirst, kSecond});
+  auto first = Only<SendForward>(FromCaller(Opening())).at(0).agent;
+  auto next = Only<SendForward>(Pass(FlowRouter::kOfferPatience + kStep, {}));
+  BOOST_REQUIRE(next.size() == 1U);
+  BOOST_TEST((next[0].agent != first));
+}
+
+BOOST_FIXTURE_TEST_CASE(ACopyDoesNotMakeASecondOffer, Fixture) {
+  Settle({kFirst, kSecond});
+  FromCaller(Opening());
+  BOOST_TEST(FromCaller(Opening(testing::kDeskRoute, 1)).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(OtherServicesAndDrainingUpstreamsGetNoOffer, Fixture) {
+  Report(kFirst, testing::kMaps);
+  router.OnReport({.service = testing::kDesk,
+                   .state = UpstreamState::kDraining,
+                   .interval = Millis(200)},
+                  kSecond, now);
+  Report(kThird);
+  for (uint16_t port = 1; port < 20; ++port) {
+    flow::PacketHead head = Opening();
+    head.source.port = port;
+    auto offers = Only<SendForward>(FromCaller(head));
+    BOOST_REQUIRE(offers.size() == 1U);
+    BOOST_TEST((offers[0].agent == kThird));
+  }
+}
+
+// After a loss of power agents and balancers start together; resetting new
+// flows until they have met used up the callers' tries.
+BOOST_FIXTURE_TEST_CASE(NewFlowsWaitForTheFirstAgentAfterAStart, Fixture) {
+  BOOST_TEST(FromCaller(Opening()).empty());
+  BOOST_TEST(Pass(Millis(100), {}).empty());
+  Report(kFirst);
+  auto offers = Only<SendForward>(Pass(kStep, {}));
+  BOOST_REQUIRE(offers.size() == 1U);
+  BOOST_TEST((offers[0].agent == kFirst));
+}
+
+BOOST_FIXTURE_TEST_CASE(LaterANewFlowWithoutAnAgentIsResetAtOnce, Fixture) {
+  Settle({});
+  BOOST_TEST(Only<ResetCaller>(FromCaller(Opening())).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnUnknownFlowIsFoundAndItsPacketsDelivered, Fixture) {
+  Settle({kFirst, kSecond});
+  BOOST_TEST(Only<SendLocate>(FromCaller(Data(101, 500))).size() == 2U);
+  BOOST_TEST(FromCaller(Data(601, 500)).empty());
+  BOOST_TEST(Answer(kFirst, Holding::kNotHeld).empty());
+  auto sent = Only<SendForward>(Answer(kSecond, Holding::kHeld));
+  BOOST_REQUIRE(sent.size() == 2U);
+  BOOST_TEST((sent[0].agent == kSecond));
+  BOOST_TEST(!sent[0].message.guess);
+  BOOST_TEST(Only<SendForward>(FromCaller(Data(1101, 10))).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AFlowThatNobodyHoldsIsReset, Fixture) {
+  Settle({kFirst, kSecond});
+  FromCaller(Data(101, 500));
+  Answer(kFirst, Holding::kNotHeld);
+  auto resets = Only<ResetCaller>(Answer(kSecond, Holding::kNotHeld));
+  BOOST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST(resets[0].sequence == testing::kUpstreamStart + 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(ABalancerThatJustStartedCallsNoFlowLost, Fixture) {
+  Report(kFirst);
+  FromCaller(Data(101, 500));
+  BOOST_TEST(Only<ResetCaller>(Answer(kFirst, Holding::kNotHeld)).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(WhoIsUnsureIsAskedByAGuess, Fixture) {
+  Settle({kFirst, kSecond});
+  FromCaller(Data(101, 500));
+  Answer(kFirst, Holding::kUnsure);
+  RouterActions end = Answer(kSecond, Holding::kNotHeld);
+  BOOST_TEST(Only<ResetCaller>(end).empty());
+  auto guesses = Only<SendForward>(end);
+  BOOST_REQUIRE(guesses.size() == 1U);
+  BOOST_TEST((guesses[0].agent == kFirst));
+  BOOST_TEST(guesses[0].message.guess);
+}
+
+BOOST_FIXTURE_TEST_CASE(WithoutAllAnswersWorkThatMustNotRepeatIsLeftAlone,
+                        Fixture) {
+  Settle({kFirst, kSecond});
+  FromCaller(Data(101, 500));
+  Answer(kFirst, Holding::kNotHeld);
+  RouterActions end = Pass(FlowRouter::kSearchEnd + kStep, {kFirst});
+  BOOST_TEST(Only<ResetCaller>(end).empty());
+  BOOST_TEST(Only<SendLocate>(end).size() == 1U);  // asked once more
+}
+
+BOOST_FIXTURE_TEST_CASE(APacketHandedBackStartsASearch, Fixture) {
+  Settle({kFirst, kSecond});
+  FromCaller(Opening());
+  Answer(kFirst, Holding::kHeld);
+  auto search =
+      Answer(kFirst, Holding::kNotHeld, Reason::kNoSuchFlow, "handed back");
+  BOOST_TEST(Only<SendLocate>(search).size() == 2U);
+}
+
+struct RepeatableFlow : Fixture {
+  flow::PacketHead data = Data(101, 500);
+
+  RepeatableFlow() {
+    data.destination = testing::kMapsRoute;
+    Report(kFirst, testing::kMaps);
+    FromCaller(Opening(testing::kMapsRoute));
+    router.OnAnswer({.flow = data.FromCaller(), .holding = Holding::kHeld}, {},
+                    kFirst, now, actions);
+    Take();
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(ARepeatableFlowOfASilentAgentIsReset, RepeatableFlow) {
+  BOOST_TEST(Only<SendForward>(FromCaller(data)).size() == 1U);
+  Pass(FlowRouter::kMinSilence + kStep, {});
+  auto resets = Only<ResetCaller>(FromCaller(data));
+  BOOST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST((resets[0].reason == Reason::kFlowLost));
+}
+
+BOOST_FIXTURE_TEST_CASE(APauseOfTheBalancerProvesNothing, RepeatableFlow) {
+  now = now + Millis(4000);
+  router.OnTick(now, actions);
+  BOOST_TEST(Only<ResetCaller>(FromCaller(data)).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ADroppedRouteEndsItsFlows, RepeatableFlow) {
+  router.SetRoutes(std::make_shared<const RouteTable>(
+      6, settings::Tree{}, std::vector<settings::Route>{}));
+  BOOST_TEST(Only<ResetCaller>(FromCaller(data)).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ReadyOnceItCanRoute, Fixture) {
+  BOOST_TEST(!router.IsReady(now));
+  Report(kFirst);
+  BOOST_TEST(router.IsReady(now));
+  Pass(FlowRouter::kMinSilence + kStep, {});
+  BOOST_TEST(!router.IsReady(now));
+}
+
+}  // namespace
+}  // namespace filberthollow::decision
--- /dev/null
+++ b/filberthollow/decision/upstream_gate_test.cc
@@ -0,0 +1,301 @@
+#include "filberthollow/decision/upstream_gate.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "filberthollow/testing/packet_fixtures.h"
+
+namespace filberthollow::decision {
+namespace {
+
+using base::Address;
+using base::Millis;
+using flow::Reason;
+using testing::Acceptance;
+using testing::Beat;
+using testing::Bounced;
+using testing::Data;
+using testing::kDesk;
+using testing::kDeskFlow;
+using testing::kUpstreamStart;
+using testing::Only;
+using testing::Opening;
+using testing::UpstreamData;
+
+constexpr Address kBalancer{7, 7000};
+constexpr Millis kStep{100};
+
+// A gate whose upstream is ready, and a clock that the test moves.
+struct Fixture {
+  Millis now{10'000};
+  UpstreamGate gate;
+  GateActions actions;
+
+  explicit Fixture(bool first_start = true)
+      : gate(GateOptions{.service = kDesk, .first_start = first_start}, now) {
+    gate.SetRoutes(testing::TwoRoutes(5));
+  }
+
+  GateActions Take() { return std::exchange(actions, {}); }
+  GateActions Hear(const UpstreamBeat& beat) {
+    gate.OnBeat(beat, now, actions);
+    return Take();
+  }
+  GateActions Forward(const flow::PacketHead& head,
+                      decision::Forward forward = {.revision = 5,
+                                                   .packet = "p"}) {
+    gate.OnForward(forward, head, kBalancer, now, actions);
+    return Take();
+  }
+  GateActions FromUpstream(const flow::PacketHead& head) {
+    gate.OnUpstreamPacket("u", head, now, actions);
+    return Take();
+  }
+  GateActions Pass(Millis time) {
+    GateActions all;
+    for (Millis end = now + time; now < end;) {
+      now = now + std::min(kStep, end - now);
+      gate.OnTick(now, actions);
+      for (auto& action : Take()) {
+        all.push_back(action);
+      }
+    }
+    return all;
+  }
+  Holding Ask(uint32_t acknowledged = kUpstreamStart + 1) {
+    gate.OnLocate({kDeskFlow, acknowledged}, kBalancer, now, actions);
+    return Only<AnswerBalancer>(Take()).at(0).answer.holding;
+  }
+  void OpenFlow() {
+    Hear(Beat(1));
+    Forward(Opening());
+    FromUpstream(Acceptance());
+    Forward(Data(101, 0));
+  }
+};
+
+Reason RefusalOf(const GateActions& actions) {
+  auto answers = Only<AnswerBalancer>(actions);
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_REQUIRE(answers[0].answer.holding == Holding::kRefused);
+  BOOST_REQUIRE(Only<ToUpstream>(actions).empty());
+  return answers[0].answer.reason;
+}
+
+BOOST_FIXTURE_TEST_CASE(ANewFlowIsOfferedAndHeld, Fixture) {
+  Hear(Beat(1));
+  BOOST_TEST(Only<ToUpstream>(Forward(Opening())).size() == 1U);
+  BOOST_TEST((Ask() == Holding::kNotHeld));
+  GateActions accepted = FromUpstream(Acceptance());
+  BOOST_TEST((Only<AnswerBalancer>(accepted).at(0).answer.holding ==
+              Holding::kHeld));
+  BOOST_TEST(Only<ToCaller>(accepted).size() == 1U);
+  BOOST_TEST((Ask() == Holding::kHeld));
+  BOOST_TEST(Only<ToUpstream>(Forward(Data(101, 500))).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatMustNotOpenIsRefusedAtOnce, Fixture) {
+  BOOST_TEST((RefusalOf(Forward(Opening())) == Reason::kNotReady));
+  Hear(Beat(1));
+  BOOST_TEST((RefusalOf(Forward(Opening(testing::kMapsRoute))) ==
+              Reason::kWrongService));
+  BOOST_TEST((RefusalOf(Forward(Opening(testing::kUnknownRoute))) ==
+              Reason::kNoRoute));
+  Hear(Beat(2, UpstreamState::kDraining));
+  BOOST_TEST((RefusalOf(Forward(Opening())) == Reason::kDraining));
+}
+
+BOOST_FIXTURE_TEST_CASE(ABalancerWithNewerRoutesIsBelieved, Fixture) {
+  Hear(Beat(1));
+  auto newer = decision::Forward{.revision = 6, .packet = "p"};
+  BOOST_TEST(Only<ToUpstream>(Forward(Opening(testing::kUnknownRoute), newer))
+                 .size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(TheConnectionLimitHolds, Fixture) {
+  Hear(Beat(1));
+  for (uint16_t port = 1; port <= 4; ++port) {
+    flow::PacketHead head = Opening();
+    head.source.port = port;
+    GateActions offered = Forward(head);
+    if (port <= 3) {
+      BOOST_TEST(Only<ToUpstream>(offered).size() == 1U);
+    } else {
+      BOOST_TEST((RefusalOf(offered) == Reason::kConnectionLimit));
+    }
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(ADrainingUpstreamKeepsItsFlows, Fixture) {
+  OpenFlow();
+  Hear(Beat(2, UpstreamState::kDraining));
+  BOOST_TEST(Only<ToUpstream>(Forward(Data(101, 500))).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AFullUpstreamBouncesAnOffer, Fixture) {
+  Hear(Beat(1));
+  Forward(Opening());
+  BOOST_TEST((RefusalOf(FromUpstream(Bounced(Opening()))) ==
+              Reason::kConnectionLimit));
+  BOOST_TEST(gate.flows() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnUnansweredOfferIsHandedBack, Fixture) {
+  Hear(Beat(1));
+  Forward(Opening());
+  BOOST_TEST((RefusalOf(Pass(UpstreamGate::kOpenPatience)) ==
+              Reason::kUpstreamSilent));
+}
+
+BOOST_FIXTURE_TEST_CASE(APacketOfAnUnknownFlowIsHandedBack, Fixture) {
+  Hear(Beat(1));
+  GateActions back = Forward(Data(101, 500));
+  BOOST_TEST(Only<ToUpstream>(back).empty());
+  const FlowAnswer& answer = Only<AnswerBalancer>(back).at(0).answer;
+  BOOST_TEST((answer.holding == Holding::kNotHeld));
+  BOOST_TEST(answer.packet == "p");
+}
+
+// Copies of one opening packet may be accepted by two upstreams; the caller
+// goes on with one of them.
+BOOST_FIXTURE_TEST_CASE(AnAcceptanceThatTheCallerDidNotTakeIsNotHeld, Fixture) {
+  Hear(Beat(1));
+  Forward(Opening());
+  FromUpstream(Acceptance());
+  BOOST_TEST((Ask(kUpstreamStart + 900'000'000) == Holding::kNotHeld));
+  flow::PacketHead other = Data(101, 500);
+  other.acknowledged = kUpstreamStart + 900'000'000;
+  BOOST_TEST(Only<ToUpstream>(Forward(other)).empty());
+}
+
+struct RestartedAgent : Fixture {
+  RestartedAgent() : Fixture(/*first_start=*/false) { Hear(Beat(9)); }
+};
+
+BOOST_FIXTURE_TEST_CASE(AnAgentThatRestartedIsUnsure, RestartedAgent) {
+  BOOST_TEST((Ask() == Holding::kUnsure));
+  BOOST_TEST(Only<ToUpstream>(Forward(Data(101, 500))).empty());
+  auto guess = decision::Forward{.revision = 5, .guess = true, .packet = "p"};
+  BOOST_TEST(Only<ToUpstream>(Forward(Data(101, 500), guess)).size() == 1U);
+  FromUpstream(UpstreamData(kUpstreamStart + 1, 100));
+  BOOST_TEST((Ask() == Holding::kHeld));
+}
+
+BOOST_FIXTURE_TEST_CASE(AWrongGuessResetsNobody, RestartedAgent) {
+  auto guess = decision::Forward{.revision = 5, .guess = true, .packet = "p"};
+  Forward(Data(101, 500), guess);
+  BOOST_TEST(Only<ResetCaller>(FromUpstream(Bounced(Data(101, 500)))).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAgentIsSureOfAnUpstreamThatItSawStart,
+                        RestartedAgent) {
+  Hear(Beat(1, UpstreamState::kReady, 2000));
+  BOOST_TEST((Ask() == Holding::kNotHeld));
+}
+
+BOOST_FIXTURE_TEST_CASE(ARestartedUpstreamHasLostItsFlows, Fixture) {
+  OpenFlow();
+  auto resets = Only<ResetCaller>(Hear(Beat(1, UpstreamState::kReady, 2000)));
+  BOOST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST((resets[0].flow == kDeskFlow));
+  BOOST_TEST(resets[0].sequence == kUpstreamStart + 1);
+  BOOST_TEST((Ask() == Holding::kNotHeld));
+}
+
+// The caller may have gone on with another upstream's acceptance.
+BOOST_FIXTURE_TEST_CASE(AFlowThatTheCallerNeverUsedIsNotReset, Fixture) {
+  Hear(Beat(1));
+  Forward(Opening());
+  FromUpstream(Acceptance());
+  BOOST_TEST(
+      Only<ResetCaller>(Hear(Beat(1, UpstreamState::kReady, 2000))).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(LateAndForeignHeartbeatsNameNoUpstream, Fixture) {
+  Hear(Beat(5, UpstreamState::kReady, 2000));
+  BOOST_TEST(!gate.OnBeat(Beat(9, UpstreamState::kReady, 1000), now, actions));
+  BOOST_TEST(
+      !gate.OnBeat(Beat(4, UpstreamState::kDraining, 2000), now, actions));
+  UpstreamBeat foreign = Beat(6, UpstreamState::kReady, 3000);
+  foreign.service = "maps";
+  BOOST_TEST(!gate.OnBeat(foreign, now, actions));
+  BOOST_TEST((gate.Report(now).state == UpstreamState::kReady));
+}
+
+BOOST_FIXTURE_TEST_CASE(ADeadUpstreamLosesItsFlowsOnlyAfterAFailedCheck,
+                        Fixture) {
+  OpenFlow();
+  flow::PacketHead second = Opening();
+  second.source.port = 1;
+  Forward(second);
+  GateActions seen = Pass(UpstreamGate::kSilencePatience + kStep);
+  BOOST_TEST(Only<CheckUpstream>(seen).size() == 1U);
+  BOOST_TEST(gate.Report(now).silent);
+  BOOST_TEST(Only<ResetCaller>(Pass(UpstreamGate::kDeadPatience * 2)).empty());
+  gate.OnHealth(false, now, actions);
+  Take();
+  BOOST_TEST(Only<ResetCaller>(Pass(kStep)).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ASlowUpstreamIsNotDead, Fixture) {
+  OpenFlow();
+  Forward(Data(101, 500));
+  Pass(UpstreamGate::kSilencePatience * 2);
+  gate.OnHealth(true, now, actions);
+  Take();
+  BOOST_TEST(!gate.Report(now).silent);
+  BOOST_TEST(Only<ToUpstream>(Forward(Data(601, 500))).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(APauseOfTheAgentProvesNothing, Fixture) {
+  OpenFlow();
+  flow::PacketHead second = Opening();
+  second.source.port = 1;
+  Forward(second);
+  now = now + Millis(4000);
+  gate.OnTick(now, actions);
+  BOOST_TEST(Take().empty());
+  BOOST_TEST(!gate.Report(now).silent);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnUpstreamThatLeftKeepsItsFlowsUntilItHasEnded,
+                        Fixture) {
+  OpenFlow();
+  UpstreamBeat last{.id = Beat(1).id, .state = UpstreamState::kGone};
+  BOOST_TEST(Only<ResetCaller>(Hear(last)).empty());
+  flow::PacketHead other = Opening();
+  other.source.port = 1;
+  BOOST_TEST((RefusalOf(Forward(other)) == Reason::kDraining));
+  BOOST_TEST(Only<ToUpstream>(Forward(Data(101, 500))).size() == 1U);
+  BOOST_TEST(
+      Only<ResetCaller>(Pass(UpstreamGate::kGoneLinger + kStep)).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ClosedAndIdleFlowsAreDropped, Fixture) {
+  OpenFlow();
+  Forward(testing::Finish(101));
+  flow::PacketHead end = UpstreamData(kUpstreamStart + 1, 0);
+  end.finishes = true;
+  FromUpstream(end);
+  BOOST_TEST((Ask() == Holding::kHeld));  // for late copies
+  BOOST_TEST(gate.Report(now).load.open == 0U);
+  Pass(UpstreamGate::kClosedLinger + Millis(1000));
+  BOOST_TEST(gate.flows() == 0U);
+  OpenFlow();
+  Pass(Millis(20'000));
+  BOOST_TEST(gate.flows() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(BusyCountsRequestsWithoutAnAnswer, Fixture) {
+  OpenFlow();
+  Forward(Data(101, 500));
+  Forward(Data(601, 400));
+  Forward(Data(101, 500));  // a copy
+  BOOST_TEST(gate.Report(now).load.busy == 1U);
+  FromUpstream(UpstreamData(kUpstreamStart + 1, 0));
+  BOOST_TEST(gate.Report(now).load.busy == 1U);  // only an acknowledgement
+  FromUpstream(UpstreamData(kUpstreamStart + 1, 1200));
+  BOOST_TEST(gate.Report(now).load.busy == 0U);
+}
+
+}  // namespace
+}  // namespace filberthollow::decision
--- /dev/null
+++ b/filberthollow/platform/platform_test.cc
@@ -0,0 +1,158 @@
+#include <boost/test/unit_test.hpp>
+
+#include "filberthollow/platform/announcement.h"
+#include "filberthollow/platform/node_settings.h"
+#include "filberthollow/platform/operator_config.h"
+#include "filberthollow/platform/packet_format.h"
+
+namespace filberthollow::platform {
+namespace {
+
+std::string FromHex(std::string_view hex) {
+  std::string bytes;
+  for (size_t i = 0; i + 1 < hex.size(); i += 3) {
+    bytes += static_cast<char>(std::stoi(std::string(hex.substr(i, 2)), nullptr,
+                                         16));
+  }
+  return bytes;
+}
+
+constexpr flow::FlowEnds kExampleFlow{{0x64400007, 40001}, {0xc6120001, 443}};
+
+BOOST_AUTO_TEST_CASE(ReadsTheHeadOfAnOpeningPacket) {
+  std::string packet = FromHex(
+      "44 33 22 11 00 00 00 00 07 00 40 64 01 00 12 c6 bb 01 41 9c 00 00 00 00 "
+      "00 00 20 00 d5 c3 b2 a1 ");
+  auto head = PlatformPacketFormat().Read(packet);
+  BOOST_REQUIRE(head.has_value());
+  BOOST_TEST((head->FromCaller() == kExampleFlow));
+  BOOST_TEST(head->sequence == 0x11223344U);
+  BOOST_TEST(head->AsksToOpen());
+  BOOST_TEST(!head->bounced);
+}
+
+BOOST_AUTO_TEST_CASE(WritesAResetAndReadsItBack) {
+  std::string expected = FromHex(
+      "00 00 00 00 00 00 00 00 01 00 12 c6 07 00 40 64 41 9c bb 01 00 00 00 00 "
+      "00 00 08 00 00 00 00 00 ");
+  std::string reset = PlatformPacketFormat().Reset(kExampleFlow, 0);
+  BOOST_TEST(reset == expected);
+  BOOST_TEST((PlatformPacketFormat().Read(reset)->ToCaller() == kExampleFlow));
+}
+
+BOOST_AUTO_TEST_CASE(ShortBytesAreNoPacket) {
+  BOOST_TEST(!PlatformPacketFormat().Read(std::string(31, 'x')).has_value());
+}
+
+net::HttpServerRequest BeatCall(std::string body) {
+  return {.method = "PUT",
+          .path = "/filberthollow/instances/i-7",
+          .body = std::move(body)};
+}
+
+BOOST_AUTO_TEST_CASE(ReadsAHeartbeat) {
+  auto beat = ReadAnnouncement(BeatCall(
+      R"({"service":"desk","address":"10.0.0.1:80","zone":"a","version":"v1",
+          "slots":4,"state":"draining","coldRemainingMs":7,"sequence":3,
+          "born":1700000000123})"));
+  BOOST_REQUIRE(beat.has_value());
+  BOOST_TEST((*beat == decision::UpstreamBeat{
+                           .id = "i-7",
+                           .service = "desk",
+                           .started = base::Millis(1700000000123),
+                           .sequence = 3,
+                           .state = decision::UpstreamState::kDraining,
+                           .slots = 4,
+                           .cold_for = base::Millis(7)}));
+}
+
+BOOST_AUTO_TEST_CASE(WhatCanNotBeReadNamesNoUpstream) {
+  for (const char* body :
+       {"", "nonsense", "[]", "{}",
+        R"({"service":"desk","slots":"four","state":"ready",
+            "coldRemainingMs":0,"sequence":3,"born":1})",
+        R"({"service":"desk","slots":4,"state":"asleep",
+            "coldRemainingMs":0,"sequence":3,"born":1})",
+        R"({"service":"desk","slots":4,"state":"ready",
+            "coldRemainingMs":0,"sequence":3,"born":"1"})"}) {
+    BOOST_TEST(!ReadAnnouncement(BeatCall(body)).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TheLastWordSaysThatTheUpstreamIsGone) {
+  auto beat = ReadAnnouncement(
+      {.method = "DELETE", .path = "/filberthollow/instances/i-7"});
+  BOOST_REQUIRE(beat.has_value());
+  BOOST_TEST((beat->state == decision::UpstreamState::kGone));
+  BOOST_TEST(beat->id == "i-7");
+}
+
+BOOST_AUTO_TEST_CASE(TranslatesTheOperatorsConfiguration) {
+  auto snapshot = ParseOperatorConfig(
+      R"({"version":7,
+          "routes":[{"name":"r1","host":"198.18.0.1","pathPrefix":"/8443/",
+                     "kind":"safe","split":[{"service":"a","weight":90},
+                                            {"service":"b","weight":10}]},
+                    {"name":"r2","host":"198.18.0.2","pathPrefix":"/443/",
+                     "kind":"unsafe","service":"b"}],
+          "services":[{"name":"a","healthPath":"/health",
+                       "connectionLimit":2000},
+                      {"name":"b","connectionLimit":999999999}],
+          "limits":{"idleTimeoutMs":14500}})");
+  BOOST_REQUIRE(static_cast<bool>(snapshot));
+  BOOST_REQUIRE(snapshot->routes.size() == 2U);
+  BOOST_TEST((snapshot->routes[0] ==
+              settings::Route{"r1", {0xc6120001, 8443}, true,
+                              {{"a", 90}, {"b", 10}}}));
+  BOOST_TEST((snapshot->routes[1] == settings::Route{"r2",
+                                                     {0xc6120002, 443},
+                                                     false,
+                                                     {{"b", 1}}}));
+  BOOST_TEST(*snapshot->tree.root.idle_flow_s == 15U);
+  BOOST_TEST(*snapshot->tree.services.at("a").overrides.connections == 2000U);
+  BOOST_TEST(*snapshot->tree.services.at("b").overrides.connections == 100'000U);
+  BOOST_TEST(snapshot->health_paths.at("a") == "/health");
+  auto again = settings::ParseSnapshot(settings::SnapshotText(*snapshot), "x");
+  BOOST_REQUIRE(static_cast<bool>(again));
+  BOOST_TEST((*again == *snapshot));
+}
+
+BOOST_AUTO_TEST_CASE(ABrokenConfigurationIsRefusedWhole) {
+  BOOST_TEST(!ParseOperatorConfig("{}"));
+  BOOST_TEST(!ParseOperatorConfig(
+      R"({"routes":[{"name":"r","host":"x","pathPrefix":"/1/",
+                     "service":"a"}],"services":[]})"));
+}
+
+constexpr const char* kAgentSettings =
+    "node=side-1\nmachineClass=side\nzone=a\nipAddress=10.1.0.12\n"
+    "listenAddresses.packets=10.1.0.12:8172\n"
+    "listenAddresses.outbound=10.1.0.12:8162\n"
+    "listenAddresses.ready=10.1.0.12:8167\n"
+    "listenAddresses.control=10.1.0.12:8166\n"
+    "internalPorts=7720,7735\nseeds=10.1.0.10:8166,10.2.0.40:8166\n"
+    "bootstrap=true\nbounds.graceS=6.5\napp=10.1.0.12:8165\nservice=desk\n"
+    "platform.address=10.200.1.7:8169\nunknown.field=1\n";
+
+BOOST_AUTO_TEST_CASE(ReadsAnAgentsSettings) {
+  auto file = ParseNodeSettings(kAgentSettings, "local.conf");
+  BOOST_REQUIRE(static_cast<bool>(file));
+  BOOST_TEST(file->name == "side-1");
+  BOOST_TEST(file->peers.Text() == "10.1.0.12:7720");
+  BOOST_TEST(file->outbound.Text() == "10.1.0.12:8162");
+  BOOST_TEST(file->upstream.Text() == "10.1.0.12:8165");
+  BOOST_TEST(file->caller_port == 8172);
+  BOOST_TEST(file->seeds.size() == 2U);
+  BOOST_TEST(file->seeds.at(1).Text() == "10.2.0.40:7720");
+  BOOST_TEST(file->first_start);
+  BOOST_TEST((file->stop_grace == base::Millis(6500)));
+}
+
+BOOST_AUTO_TEST_CASE(ASettingsErrorNamesTheField) {
+  auto file = ParseNodeSettings("internalPorts=1,2\n", "local.conf");
+  BOOST_REQUIRE(!file);
+  BOOST_TEST(file.error().peer == "local.conf: listenAddresses.packets");
+}
+
+}  // namespace
+}  // namespace filberthollow::platform
--- /dev/null
+++ b/filberthollow/testing/packet_fixtures.cc
@@ -0,0 +1,73 @@
+#include "filberthollow/testing/packet_fixtures.h"
+
+namespace filberthollow::testing {
+
+std::shared_ptr<const decision::RouteTable> TwoRoutes(uint64_t revision) {
+  settings::Tree tree;
+  tree.root.idle_flow_s = 15;
+  tree.services["desk"].overrides.connections = 3;
+  tree.services["maps"] = {};
+  return std::make_shared<const decision::RouteTable>(
+      revision, tree,
+      std::vector<settings::Route>{
+          {"desk", kDeskRoute, false, {{"desk", 1}}},
+          {"maps", kMapsRoute, true, {{"maps", 1}}}});
+}
+
+flow::PacketHead Opening(base::Address route, uint32_t copy) {
+  return {.source = kCaller,
+          .destination = route,
+          .sequence = 100,
+          .acknowledged = copy,
+          .opens = true};
+}
+
+flow::PacketHead Data(uint32_t sequence, uint16_t bytes) {
+  return {.source = kCaller,
+          .destination = kDeskRoute,
+          .sequence = sequence,
+          .acknowledged = kUpstreamStart + 1,
+          .data_bytes = bytes,
+          .acknowledges = true};
+}
+
+flow::PacketHead Finish(uint32_t sequence) {
+  flow::PacketHead head = Data(sequence, 0);
+  head.finishes = true;
+  return head;
+}
+
+flow::PacketHead Acceptance() {
+  return {.source = kDeskRoute,
+          .destination = kCaller,
+          .sequence = kUpstreamStart,
+          .acknowledged = 101,
+          .opens = true,
+          .acknowledges = true};
+}
+
+flow::PacketHead UpstreamData(uint32_t sequence, uint16_t bytes) {
+  return {.source = kDeskRoute,
+          .destination = kCaller,
+          .sequence = sequence,
+          .data_bytes = bytes,
+          .acknowledges = true};
+}
+
+flow::PacketHead Bounced(flow::PacketHead head) {
+  head.bounced = true;
+  return head;
+}
+
+decision::UpstreamBeat Beat(uint64_t sequence,
+                            decision::UpstreamState state,
+                            int64_t started) {
+  return {.id = "i-" + std::to_string(started),
+          .service = "desk",
+          .started = base::Millis(started),
+          .sequence = sequence,
+          .state = state,
+          .slots = 4};
+}
+
+}  // namespace filberthollow::testing
--- /dev/null
+++ b/filberthollow/testing/packet_fixtures.h
@@ -0,0 +1,56 @@
+// Values that the tests of passed-through flows share.
+#ifndef FILBERTHOLLOW_TESTING_PACKET_FIXTURES_H_
+#define FILBERTHOLLOW_TESTING_PACKET_FIXTURES_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "filberthollow/decision/packet_messages.h"
+#include "filberthollow/decision/route_table.h"
+#include "filberthollow/flow/packet.h"
+
+namespace filberthollow::testing {
+
+inline constexpr base::Address kCaller{0x64400007, 40001};
+inline constexpr base::Address kDeskRoute{0xc6120001, 443};
+inline constexpr base::Address kMapsRoute{0xc6120002, 443};
+inline constexpr base::Address kUnknownRoute{0xc6120009, 443};
+inline constexpr flow::FlowEnds kDeskFlow{kCaller, kDeskRoute};
+inline const base::ServiceId kDesk = base::ServiceIdOf("desk");
+inline const base::ServiceId kMaps = base::ServiceIdOf("maps");
+inline constexpr uint32_t kUpstreamStart = 5000;  // its first sequence number
+
+// Routes of two services; the desk's requests must not be repeated.
+std::shared_ptr<const decision::RouteTable> TwoRoutes(uint64_t revision);
+
+// Heads of a caller's packets on kDeskFlow.
+flow::PacketHead Opening(base::Address route = kDeskRoute, uint32_t copy = 0);
+flow::PacketHead Data(uint32_t sequence, uint16_t bytes);
+flow::PacketHead Finish(uint32_t sequence);
+// Heads of the upstream's packets on kDeskFlow.
+flow::PacketHead Acceptance();
+flow::PacketHead UpstreamData(uint32_t sequence, uint16_t bytes);
+// The same head as the upstream hands it back.
+flow::PacketHead Bounced(flow::PacketHead head);
+
+decision::UpstreamBeat Beat(uint64_t sequence,
+                            decision::UpstreamState state =
+                                decision::UpstreamState::kReady,
+                            int64_t started = 1000);
+
+// Returns the actions of one type.
+template <class T, class Actions>
+std::vector<T> Only(const Actions& actions) {
+  std::vector<T> found;
+  for (const auto& action : actions) {
+    if (const T* wanted = std::get_if<T>(&action)) {
+      found.push_back(*wanted);
+    }
+  }
+  return found;
+}
+
+}  // namespace filberthollow::testing
+
+#endif  // FILBERTHOLLOW_TESTING_PACKET_FIXTURES_H_
