--- a/filberthollow/decision/route_table.cc
+++ b/filberthollow/decision/route_table.cc
@@ -50,7 +50,9 @@
   }
   for (const settings::Route& route : routes) {
     CompiledRoute& compiled = m_routes[route.address];
-    compiled = {.idempotent = route.idempotent};
+    compiled = {.idempotent = route.idempotent,
+                .priority = route.priority,
+                .latency_goal = base::Millis(route.latency_goal_ms)};
     for (const settings::RouteShare& share : route.shares) {
       compiled.shares.push_back(
           {base::ServiceIdOf(share.service), share.weight});
--- a/filberthollow/decision/route_table.h
+++ b/filberthollow/decision/route_table.h
@@ -28,6 +28,8 @@
 // CompiledRoute is what the data path needs of a route.
 struct CompiledRoute {
   bool idempotent = false;
+  uint32_t priority = 0;
+  base::Millis latency_goal;
   std::vector<CompiledShare> shares;
   friend bool operator==(const CompiledRoute&, const CompiledRoute&) = default;
 
--- a/filberthollow/decision/upstream_gate.cc
+++ b/filberthollow/decision/upstream_gate.cc
@@ -102,6 +102,9 @@
   }
   if (auto found = m_flows.find(ends); found != m_flows.end()) {
     found->second.balancer = balancer;
+    if (KeepWaiting(found->second, forward, head, now)) {
+      return;
+    }
     NoteCallerPacket(found->second, head, now);
   }
   actions.emplace_back(ToUpstream{forward.packet});
@@ -165,6 +168,62 @@
   actions.emplace_back(ToUpstream{forward.packet});
 }
 
+bool UpstreamGate::IsNews(const Flow& flow, const PacketHead& head) {
+  uint32_t end = head.sequence + head.data_bytes;
+  return !flow.caller_seen || Distance(end, flow.caller_end) > 0;
+}
+
+bool UpstreamGate::KeepWaiting(Flow& flow,
+                               const Forward& forward,
+                               const PacketHead& head,
+                               base::Millis now) {
+  if (head.resets) {
+    // The caller has given up.
+    flow.waiting.clear();
+    m_queue.Remove(head.FromCaller());
+    return false;
+  }
+  bool waits = !flow.waiting.empty();
+  bool begins = !waits && !flow.busy && head.data_bytes > 0 &&
+                IsNews(flow, head) && !m_queue.HasRoom(m_busy);
+  bool carries = head.data_bytes > 0 || head.finishes;
+  if (!begins && !(waits && carries)) {
+    return false;
+  }
+  if (begins) {
+    const CompiledRoute* route = m_routes->Find(head.destination);
+    m_queue.Add({.flow = head.FromCaller(),
+                 .priority = route == nullptr ? 0 : route->priority,
+                 .latency_goal =
+                     route == nullptr ? base::Millis(0) : route->latency_goal,
+                 .since = now});
+  }
+  flow.last_used = now;
+  flow.caller_acknowledged = head.acknowledged;
+  if (flow.waiting.size() < kMaxWaitingPackets) {
+    flow.waiting.emplace(head.sequence, forward.packet);
+  }
+  return true;
+}
+
+void UpstreamGate::DeliverWaiting(base::Millis now, GateActions& actions) {
+  while (std::optional<FlowEnds> ends = m_queue.Next(m_busy, now)) {
+    auto found = m_flows.find(*ends);
+    if (found == m_flows.end()) {
+      continue;
+    }
+    Flow& flow = found->second;
+    for (auto& [sequence, packet] : std::exchange(flow.waiting, {})) {
+      actions.emplace_back(ToUpstream{std::move(packet)});
+    }
+    if (flow.stage == Stage::kOffered) {
+      flow.stage = Stage::kOpen;
+    }
+    m_busy_order.emplace_back(now, *ends);
+    SetBusy(flow, flow.stage != Stage::kClosed, now);
+  }
+}
+
 void UpstreamGate::NoteCallerPacket(Flow& flow,
                                     const PacketHead& head,
                                     base::Millis now) {
@@ -178,13 +237,16 @@
     flow.stage = Stage::kClosed;
   }
   uint32_t end = head.sequence + head.data_bytes;
-  bool news = !flow.caller_seen || Distance(end, flow.caller_end) > 0;
+  bool news = IsNews(flow, head);
   if (news && (head.data_bytes > 0 || !flow.caller_seen)) {
     flow.caller_seen = true;
     flow.caller_end = end;
   }
   bool request = news && head.data_bytes > 0;
   bool over = flow.stage == Stage::kClosed;
+  if (request && !flow.busy) {
+    m_busy_order.emplace_back(now, head.FromCaller());
+  }
   SetBusy(flow, (flow.busy || request) && !over, now);
 }
 
@@ -236,6 +298,7 @@
   if (was_open && flow.stage == Stage::kClosed) {
     --m_open;
   }
+  DeliverWaiting(now, actions);
   if (accepted && !added) {
     Answer(flow.balancer, ends, Holding::kHeld, {}, "", now, actions);
   }
@@ -270,6 +333,9 @@
 UpstreamGate::Flows::iterator UpstreamGate::Erase(Flows::iterator flow,
                                                   base::Millis now) {
   SetBusy(flow->second, false, now);
+  if (!flow->second.waiting.empty()) {
+    m_queue.Remove(flow->first);
+  }
   if (flow->second.stage != Stage::kClosed) {
     --m_open;
   }
@@ -289,6 +355,7 @@
   }
   AdvanceRate(now);
   flow.busy = busy;
+  flow.busy_since = now;
   m_busy += busy ? 1 : -1;
 }
 
@@ -324,6 +391,7 @@
   m_last_sequence = beat.sequence;
   m_state = beat.state;
   m_slots = std::max(beat.slots, 1U);
+  m_queue.SetSlots(m_slots);
   m_cold_until = now + beat.cold_for;
   m_last_heard = now;
   m_owed_since = base::kNever;
@@ -368,6 +436,8 @@
     }
   }
   m_flows.clear();
+  m_queue.Clear();
+  m_busy_order.clear();
   m_open = 0;
   m_busy = 0;
   m_busy_mean = 0;
@@ -375,6 +445,17 @@
   m_owed_since = base::kNever;
 }
 
+void UpstreamGate::ExpireBusy(base::Millis now) {
+  while (!m_busy_order.empty() && now - m_busy_order.front().first > kMaxBusy) {
+    auto [since, ends] = m_busy_order.front();
+    m_busy_order.pop_front();
+    auto found = m_flows.find(ends);
+    if (found != m_flows.end() && found->second.busy_since == since) {
+      SetBusy(found->second, false, now);
+    }
+  }
+}
+
 void UpstreamGate::CheckSilence(base::Millis now, GateActions& actions) {
   base::Millis unheard = now - m_last_heard;
   bool owes_opening = now - m_owed_since >= kOpenPatience;
@@ -450,6 +531,8 @@
     m_gone_at = base::kNever;
   }
   CheckSilence(now, actions);
+  ExpireBusy(now);
+  DeliverWaiting(now, actions);
   ExpireOffers(now, actions);
   if (now >= m_next_sweep) {
     m_next_sweep = now + kSweepInterval;
@@ -462,7 +545,7 @@
   double keep = std::exp(-span / static_cast<double>(kRateSpan.count()));
   double mean = m_busy_mean * keep + m_busy * (1 - keep);
   return {.slots = Narrow(m_slots),
-          .busy = Narrow(m_busy),
+          .busy = Narrow(static_cast<int64_t>(m_busy + m_queue.size())),
           .open = Narrow(m_open),
           .busy_mean = Narrow(static_cast<int64_t>(mean * kHundredths)),
           .cold_ms = Narrow((m_cold_until - now).count())};
--- a/filberthollow/decision/upstream_gate.h
+++ b/filberthollow/decision/upstream_gate.h
@@ -11,14 +11,18 @@
 #define FILBERTHOLLOW_DECISION_UPSTREAM_GATE_H_
 
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
 #include "filberthollow/decision/packet_messages.h"
+#include "filberthollow/decision/request_queue.h"
 #include "filberthollow/decision/route_table.h"
 
 namespace filberthollow::decision {
@@ -104,6 +108,13 @@
   // kSequenceSlack is how far a caller's acknowledgement may lie beyond what
   // the upstream was seen to send; packets may pass while an agent restarts.
   static constexpr uint32_t kSequenceSlack = 76'800;
+  // kMaxBusy is how long a request without an answer counts as work. Its caller
+  // may have left before it had sent the whole of it; counted for ever, a few
+  // such would keep all others waiting.
+  static constexpr base::Millis kMaxBusy{1000};
+  // kMaxWaitingPackets bounds the packets kept of one request; an end has at
+  // most 16 in flight.
+  static constexpr size_t kMaxWaitingPackets = 16;
   // kRateSpan is the time over which `busy_mean` is taken.
   static constexpr base::Millis kRateSpan{1000};
 
@@ -168,6 +179,10 @@
     base::Address balancer;  // that offered the flow
     base::Millis offered_at;
     base::Millis last_used;
+    base::Millis busy_since;
+    // Packets of a request that waits for the upstream, with their sequence
+    // numbers.
+    std::map<uint32_t, std::string> waiting;
   };
   using Flows = std::unordered_map<flow::FlowEnds, Flow, flow::FlowEndsHash>;
 
@@ -182,6 +197,14 @@
   void OnBounced(const flow::PacketHead& head,
                  base::Millis now,
                  GateActions& actions);
+  // Returns whether the packet was kept, since the upstream is full.
+  bool KeepWaiting(Flow& flow,
+                   const Forward& forward,
+                   const flow::PacketHead& head,
+                   base::Millis now);
+  // Delivers waiting requests while the upstream has room.
+  void DeliverWaiting(base::Millis now, GateActions& actions);
+  static bool IsNews(const Flow& flow, const flow::PacketHead& head);
   void NoteCallerPacket(Flow& flow,
                         const flow::PacketHead& head,
                         base::Millis now);
@@ -205,6 +228,8 @@
   // Tells the callers of all open flows that their upstream has lost them.
   void LoseFlows(flow::Reason reason, GateActions& actions);
   void SetSilent(bool silent, base::Millis now, GateActions& actions);
+  // Stops counting requests that have been without an answer for too long.
+  void ExpireBusy(base::Millis now);
   void CheckSilence(base::Millis now, GateActions& actions);
   void ExpireOffers(base::Millis now, GateActions& actions);
   void DropOldFlows(base::Millis now);
@@ -237,6 +262,8 @@
   base::Millis m_gone_at{base::kNever};
   base::Millis m_last_tick;
 
+  RequestQueue m_queue;
+  std::deque<std::pair<base::Millis, flow::FlowEnds>> m_busy_order;
   uint32_t m_busy = 0;
   uint32_t m_open = 0;
   double m_busy_mean = 0;
--- a/filberthollow/decision/upstream_gate_test.cc
+++ b/filberthollow/decision/upstream_gate_test.cc
@@ -297,5 +297,67 @@
   BOOST_TEST(gate.Report(now).load.busy == 0U);
 }
 
+// An upstream with one slot, which is given two requests at a time.
+struct FullUpstream : Fixture {
+  static constexpr uint16_t kBusyFlows = 3;  // the connection limit
+
+  FullUpstream() {
+    Hear({.id = "i", .service = "desk", .started = Millis(1000), .sequence = 1,
+          .state = UpstreamState::kReady, .slots = 1});
+    for (uint16_t port = 1; port <= kBusyFlows; ++port) {
+      Forward(At(Opening(), port));
+      FromUpstream(Reply(Acceptance(), port));
+      Forward(At(Data(101, 0), port));
+    }
+  }
+  static flow::PacketHead At(flow::PacketHead head, uint16_t port) {
+    head.source.port = port;
+    return head;
+  }
+  static flow::PacketHead Reply(flow::PacketHead head, uint16_t port) {
+    head.destination.port = port;
+    return head;
+  }
+  bool Request(uint16_t port) {
+    return !Only<ToUpstream>(Forward(At(Data(101, 500), port))).empty();
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(RequestsWaitWhileTheUpstreamIsFull, FullUpstream) {
+  BOOST_TEST(Request(1));
+  BOOST_TEST(Request(2));
+  BOOST_TEST(!Request(3));
+  BOOST_TEST(!Request(3));  // a copy
+  BOOST_TEST(gate.Report(now).load.busy == 3U);
+  GateActions answered =
+      FromUpstream(Reply(UpstreamData(kUpstreamStart + 1, 100), 1));
+  BOOST_TEST(Only<ToUpstream>(answered).size() == 1U);
+  BOOST_TEST(Only<ToCaller>(answered).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestThatWasGivenUpIsNotDelivered, FullUpstream) {
+  Request(1);
+  Request(2);
+  Request(3);
+  flow::PacketHead reset = At(Data(601, 0), 3);
+  reset.resets = true;
+  Forward(reset);
+  GateActions answered =
+      FromUpstream(Reply(UpstreamData(kUpstreamStart + 1, 100), 1));
+  BOOST_TEST(Only<ToUpstream>(answered).empty());
+}
+
+// Callers that left before they had sent the whole of a request kept all
+// others waiting for ever.
+BOOST_FIXTURE_TEST_CASE(ARequestWithoutAnAnswerDoesNotBlockForEver,
+                        FullUpstream) {
+  Request(1);
+  Request(2);
+  BOOST_TEST(!Request(3));
+  FromUpstream(Reply(UpstreamData(kUpstreamStart, 0), 1));
+  GateActions seen = Pass(UpstreamGate::kMaxBusy + kStep);
+  BOOST_TEST(Only<ToUpstream>(seen).size() == 1U);
+}
+
 }  // namespace
 }  // namespace filberthollow::decision
--- a/filberthollow/platform/operator_config.cc
+++ b/filberthollow/platform/operator_config.cc
@@ -74,6 +74,9 @@
         {.name = route.at("name").get<std::string>(),
          .address = *address,
          .idempotent = route.value("kind", "unsafe") != "unsafe",
+         .priority = route.value("priority", 0U),
+         .latency_goal_ms =
+             route.value("aimMs", settings::kDefaultLatencyGoalMs),
          .shares = SharesOf(route)});
   }
   return snapshot;
--- a/filberthollow/platform/platform_test.cc
+++ b/filberthollow/platform/platform_test.cc
@@ -91,7 +91,7 @@
   auto snapshot = ParseOperatorConfig(
       R"({"version":7,
           "routes":[{"name":"r1","host":"198.18.0.1","pathPrefix":"/8443/",
-                     "kind":"safe","split":[{"service":"a","weight":90},
+                     "kind":"safe","priority":2,"aimMs":200,"split":[{"service":"a","weight":90},
                                             {"service":"b","weight":10}]},
                     {"name":"r2","host":"198.18.0.2","pathPrefix":"/443/",
                      "kind":"unsafe","service":"b"}],
@@ -102,12 +102,16 @@
   BOOST_REQUIRE(static_cast<bool>(snapshot));
   BOOST_REQUIRE(snapshot->routes.size() == 2U);
   BOOST_TEST((snapshot->routes[0] ==
-              settings::Route{"r1", {0xc6120001, 8443}, true,
-                              {{"a", 90}, {"b", 10}}}));
-  BOOST_TEST((snapshot->routes[1] == settings::Route{"r2",
-                                                     {0xc6120002, 443},
-                                                     false,
-                                                     {{"b", 1}}}));
+              settings::Route{.name = "r1",
+                              .address = {0xc6120001, 8443},
+                              .idempotent = true,
+                              .priority = 2,
+                              .latency_goal_ms = 200,
+                              .shares = {{"a", 90}, {"b", 10}}}));
+  BOOST_TEST((snapshot->routes[1] == settings::Route{
+                                          .name = "r2",
+                                          .address = {0xc6120002, 443},
+                                          .shares = {{"b", 1}}}));
   BOOST_TEST(*snapshot->tree.root.idle_flow_s == 15U);
   BOOST_TEST(*snapshot->tree.services.at("a").overrides.connections == 2000U);
   BOOST_TEST(*snapshot->tree.services.at("b").overrides.connections == 100'000U);
--- a/filberthollow/settings/routes.cc
+++ b/filberthollow/settings/routes.cc
@@ -14,6 +14,8 @@
 using nlohmann::json;
 
 constexpr uint32_t kMaxWeight = 1'000'000;
+constexpr uint32_t kMaxPriority = 1000;
+constexpr uint32_t kMaxGoalMs = 3'600'000;
 
 base::Error NotAList(const std::string& path, const json& found) {
   return base::MakeError(
@@ -53,8 +55,12 @@
 
 base::Result<Route> ReadRoute(const json& value, std::string path) {
   ObjectReader reader(value, path);
-  Route route{.name = reader.Text("name"),
-              .address = reader.AddressOf("address")};
+  Route route{
+      .name = reader.Text("name"),
+      .address = reader.AddressOf("address"),
+      .priority = reader.Number("priority", 0, kMaxPriority, 0),
+      .latency_goal_ms = reader.Number("latency_goal_ms", 1, kMaxGoalMs,
+                                       kDefaultLatencyGoalMs)};
   const json* idempotent = reader.Raw("idempotent");
   const json* shares = reader.Raw("shares");
   if (idempotent == nullptr || !idempotent->is_boolean()) {
@@ -83,6 +89,8 @@
   return {{"name", route.name},
           {"address", route.address.Text()},
           {"idempotent", route.idempotent},
+          {"priority", route.priority},
+          {"latency_goal_ms", route.latency_goal_ms},
           {"shares", shares}};
 }
 
--- a/filberthollow/settings/routes.h
+++ b/filberthollow/settings/routes.h
@@ -7,7 +7,8 @@
 //
 //   {"settings": {...}, "services": {...},
 //    "routes": [{"name": "desk", "address": "198.18.0.1:443",
-//                "idempotent": false,
+//                "idempotent": false, "priority": 1,
+//                "latency_goal_ms": 250,
 //                "shares": [{"service": "permit-desk", "weight": 100}]}],
 //    "health_paths": {"permit-desk": "/health"}}
 //
@@ -33,11 +34,17 @@
   friend auto operator<=>(const RouteShare&, const RouteShare&) = default;
 };
 
+// kDefaultLatencyGoalMs is used where the operator names none: people notice
+// an answer that takes longer.
+inline constexpr uint32_t kDefaultLatencyGoalMs = 250;
+
 // Route is one address that callers send to.
 struct Route {
   std::string name;
   base::Address address;
   bool idempotent = false;  // a caller may repeat its requests
+  uint32_t priority = 0;    // of its requests where they must wait; 0 is first
+  uint32_t latency_goal_ms = kDefaultLatencyGoalMs;  // an answer's usual time
   std::vector<RouteShare> shares;
   friend auto operator<=>(const Route&, const Route&) = default;
 };
--- a/filberthollow/testing/packet_fixtures.cc
+++ b/filberthollow/testing/packet_fixtures.cc
@@ -10,8 +10,11 @@
   return std::make_shared<const decision::RouteTable>(
       revision, tree,
       std::vector<settings::Route>{
-          {"desk", kDeskRoute, false, {{"desk", 1}}},
-          {"maps", kMapsRoute, true, {{"maps", 1}}}});
+          {.name = "desk", .address = kDeskRoute, .shares = {{"desk", 1}}},
+          {.name = "maps",
+           .address = kMapsRoute,
+           .idempotent = true,
+           .shares = {{"maps", 1}}}});
 }
 
 flow::PacketHead Opening(base::Address route, uint32_t copy) {
