Take a balancer out of rotation that hears few agents

Ruled out: late ticks, reports that come through the cut (logged both). Change: it is not ready, and takes agents for silent sooner, once fewer than a quarter of the agents of the last 10 s have reported within 0.4 s.

--- a/filberthollow/decision/flow_router.cc
+++ b/filberthollow/decision/flow_router.cc
@@ -20,7 +20,24 @@
 bool FlowRouter::IsSilent(const Agent& agent, base::Millis now) const {
   base::Millis patience =
       std::max(kMinSilence, agent.report.interval * kMissedReports);
-  return now - agent.heard_at > patience;
+  return now - agent.heard_at > patience ||
+         (m_isolated && !WasHeardLately(agent, now));
+}
+
+bool FlowRouter::WasHeardLately(const Agent& agent, base::Millis now) {
+  base::Millis patience =
+      std::max(kIsolatedAfter, agent.report.interval * kIsolatedReports);
+  return now - agent.heard_at <= patience;
+}
+
+void FlowRouter::CheckIsolation(base::Millis now) {
+  size_t known = 0;
+  size_t heard = 0;
+  for (const auto& [address, agent] : m_agents) {
+    known += now - agent.heard_at < kKnownSpan ? 1 : 0;
+    heard += WasHeardLately(agent, now) ? 1 : 0;
+  }
+  m_isolated = heard * kIsolatedPart < known;
 }
 
 bool FlowRouter::TakesFlows(const Agent& agent, base::Millis now) const {
@@ -29,7 +46,7 @@
 }
 
 bool FlowRouter::IsReady(base::Millis now) const {
-  return m_routes->revision() > 0 &&
+  return m_routes->revision() > 0 && !m_isolated &&
          std::any_of(m_agents.begin(), m_agents.end(), [&](const auto& entry) {
            return !IsSilent(entry.second, now);
          });
@@ -355,6 +372,7 @@
     }
     return;
   }
+  CheckIsolation(now);
   TickOffers(now, actions);
   TickSearches(now, actions);
   if (now >= m_next_sweep) {
--- a/filberthollow/decision/flow_router.h
+++ b/filberthollow/decision/flow_router.h
@@ -74,6 +74,15 @@
   // one lost report, or a host that stalls for a moment, is no failure.
   static constexpr int64_t kMissedReports = 3;
   static constexpr base::Millis kMinSilence{700};
+  // A balancer is itself cut off if, of the agents that it heard of within
+  // kKnownSpan, fewer than one in kIsolatedPart has reported within
+  // kIsolatedAfter or two intervals. That shows sooner than the silence of one
+  // agent, since many reports must be missing. The part is small, since many
+  // hosts may also lose power at once.
+  static constexpr base::Millis kIsolatedAfter{400};
+  static constexpr int64_t kIsolatedReports = 2;
+  static constexpr size_t kIsolatedPart = 4;
+  static constexpr base::Millis kKnownSpan{10'000};
   // kForgetAgent is when a silent agent is forgotten; its flows have ended.
   static constexpr base::Millis kForgetAgent{30'000};
   // kCertainAfter: a balancer that has just started may not have heard of all
@@ -189,6 +198,8 @@
                 base::Address agent,
                 base::Millis now);
   bool IsSilent(const Agent& agent, base::Millis now) const;
+  static bool WasHeardLately(const Agent& agent, base::Millis now);
+  void CheckIsolation(base::Millis now);
   bool TakesFlows(const Agent& agent, base::Millis now) const;
   Forward NewForward(std::string packet, bool guess) const {
     return {m_routes->revision(), guess, std::move(packet)};
@@ -203,6 +214,7 @@
   ByFlow<Offer> m_offers;
   ByFlow<Search> m_searches;
   base::Millis m_last_tick;
+  bool m_isolated = false;  // cut off from most agents
   base::Millis m_next_sweep{0};
 };
 
--- a/filberthollow/decision/flow_router_test.cc
+++ b/filberthollow/decision/flow_router_test.cc
@@ -246,6 +246,36 @@
   BOOST_TEST(Only<ResetCaller>(FromCaller(data)).size() == 1U);
 }
 
+// A balancer that is cut off is to be taken out of rotation soon: until then
+// packets to it are lost.
+BOOST_FIXTURE_TEST_CASE(ABalancerThatHearsOfNobodyIsNotReady, Fixture) {
+  Settle({kFirst, kSecond});
+  Pass(FlowRouter::kIsolatedAfter, {});
+  BOOST_TEST(router.IsReady(now));
+  Pass(kStep, {});
+  BOOST_TEST(!router.IsReady(now));
+  BOOST_TEST(Only<ResetCaller>(FromCaller(Opening())).size() == 1U);
+}
+
+// Agents that started after the cut may still be heard.
+BOOST_FIXTURE_TEST_CASE(ABalancerThatHearsOfFewIsNotReady, Fixture) {
+  std::set<Address> agents;
+  for (uint32_t host = 1; host <= 5; ++host) {
+    agents.insert({host, 7000});
+  }
+  Settle(agents);
+  Pass(FlowRouter::kIsolatedAfter + kStep, {kFirst});
+  BOOST_TEST(!router.IsReady(now));
+  Pass(kStep, agents);
+  BOOST_TEST(router.IsReady(now));
+}
+
+BOOST_FIXTURE_TEST_CASE(OneSilentAgentIsNoIsolation, Fixture) {
+  Settle({kFirst, kSecond});
+  Pass(FlowRouter::kMinSilence * 2, {kFirst});
+  BOOST_TEST(router.IsReady(now));
+}
+
 BOOST_FIXTURE_TEST_CASE(ReadyOnceItCanRoute, Fixture) {
   BOOST_TEST(!router.IsReady(now));
   Report(kFirst);
