Write JSON log lines with the inputs of each decision; serve metrics

Logs go to standard output, one JSON object a line, with a budget a second for each event and no wait for a stalled reader; the next line tells what was held back. Gate and router hand out notes of what they decided and why. Ruled out: spdlog's asynchronous sinks (a thread and a queue for what one non-blocking write does).

--- a/filberthollow/agent/flows_task.cc
+++ b/filberthollow/agent/flows_task.cc
@@ -69,7 +69,7 @@
 void FlowsTask::OnStopped() {
   if (m_flows.unfinished() > 0) {
     base::Log(base::Level::kWarning, "cut_requests",
-              {{"count", std::to_string(m_flows.unfinished())}});
+              {{"count", m_flows.unfinished()}});
   }
 }
 
--- a/filberthollow/base/log.cc
+++ b/filberthollow/base/log.cc
@@ -1,43 +1,98 @@
 #include "filberthollow/base/log.h"
 
+#include <fcntl.h>
 #include <fmt/format.h>
 #include <unistd.h>
 
 #include <array>
 #include <atomic>
+#include <iterator>
+#include <mutex>
+
+#include "filberthollow/base/log_budget.h"
 
 namespace filberthollow::base {
 namespace {
 
-constexpr std::array<std::string_view, 4> kLevelNames{"debug", "info",
-                                                      "warning", "error"};
+struct LevelRow {
+  std::string_view name;
+  // Lines of one event in a second. Routine lines are the first to go: with
+  // them bounded, a flood of new flows costs less than 1% of a small core.
+  // Refusals, moves and changes of what a process believes are warnings.
+  uint32_t lines_per_second;
+};
+constexpr std::array<LevelRow, 4> kLevels{{
+    {"debug", 20},
+    {"info", 50},
+    {"warning", 200},
+    {"error", 200},
+}};
+
+// A longer line could be written in part by a pipe that is nearly full.
+constexpr size_t kMaxLineBytes = 4096;
 
 std::atomic<Level> g_level = Level::kInfo;
+std::atomic<int> g_descriptor = STDOUT_FILENO;
+
+// What the threads of a process share for logging.
+struct Shared {
+  std::mutex mutex;
+  std::string process;
+  LogBudget budget;
+  SystemClock clock;
+  Millis started = clock.Now();
+};
 
-std::string Quote(std::string_view value) {
-  std::string quoted = "\"";
-  for (char c : value) {
+Shared& SharedLog() {
+  static Shared shared;
+  return shared;
+}
+
+const LevelRow& RowOf(Level level) {
+  return kLevels.at(static_cast<size_t>(level));
+}
+
+void AppendQuoted(std::string& line, std::string_view text) {
+  constexpr unsigned char kFirstPrintable = 0x20;
+  line += '"';
+  for (char c : text) {
     if (c == '"' || c == '\\') {
-      quoted += '\\';
+      line += '\\';
+      line += c;
+    } else if (static_cast<unsigned char>(c) < kFirstPrintable) {
+      fmt::format_to(std::back_inserter(line), "\\u{:04x}",
+                     static_cast<unsigned>(c));
+    } else {
+      line += c;
     }
-    quoted += c == '\n' ? ' ' : c;
   }
-  return quoted + "\"";
-}
-
-bool NeedsQuotes(std::string_view value) {
-  return value.empty() || value.find_first_of(" \"\\\n=") != value.npos;
+  line += '"';
 }
 
 }  // namespace
 
+void SetLogProcess(std::string name) {
+  SharedLog().process = std::move(name);
+}
+
 void SetLogLevel(Level level) {
   g_level = level;
 }
 
+void SetLogDescriptor(int descriptor) {
+  g_descriptor = descriptor;
+}
+
+void MakeNonBlocking(int descriptor) {
+  int flags = fcntl(descriptor, F_GETFL);
+  if (flags >= 0) {
+    fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
 bool ParseLevel(std::string_view text, Level& level) {
-  for (size_t i = 0; i < kLevelNames.size(); ++i) {
-    if (text == kLevelNames[i]) {
+  for (size_t i = 0; i < kLevels.size(); ++i) {
+    if (text == kLevels[i].name) {
       level = static_cast<Level>(i);
       return true;
     }
@@ -47,15 +102,30 @@
 
 std::string FormatLogLine(Level level,
                           std::string_view event,
-                          std::initializer_list<LogField> fields) {
-  std::string line = fmt::format(
-      "level={} event={}", kLevelNames.at(static_cast<size_t>(level)), event);
+                          std::initializer_list<LogField> fields,
+                          uint64_t held_back) {
+  Shared& shared = SharedLog();
+  std::string line =
+      fmt::format(R"({{"time":{},"up_ms":{},"process":)", WallMillis().count(),
+                  (shared.clock.Now() - shared.started).count());
+  AppendQuoted(line, shared.process);
+  fmt::format_to(std::back_inserter(line), R"(,"level":"{}","event":)",
+                 RowOf(level).name);
+  AppendQuoted(line, event);
   for (const LogField& field : fields) {
-    line += fmt::format(
-        " {}={}", field.name,
-        NeedsQuotes(field.value) ? Quote(field.value) : field.value);
+    line += ',';
+    AppendQuoted(line, field.name);
+    line += ':';
+    if (field.number) {
+      line += field.value;
+    } else {
+      AppendQuoted(line, field.value);
+    }
+  }
+  if (held_back > 0) {
+    fmt::format_to(std::back_inserter(line), R"(,"held_back":{})", held_back);
   }
-  return line;
+  return line + '}';
 }
 
 void Log(Level level,
@@ -64,10 +134,20 @@
   if (level < g_level) {
     return;
   }
-  std::string line = FormatLogLine(level, event, fields) + "\n";
-  // A log line that can't be written is lost; there is nowhere to report it.
-  [[maybe_unused]] ssize_t written =
-      write(STDERR_FILENO, line.data(), line.size());
+  Shared& shared = SharedLog();
+  std::lock_guard lock(shared.mutex);
+  std::optional<uint64_t> held_back = shared.budget.Take(
+      event, RowOf(level).lines_per_second, shared.clock.Now());
+  if (!held_back) {
+    return;
+  }
+  std::string line = FormatLogLine(level, event, fields, *held_back) + "\n";
+  bool written = line.size() <= kMaxLineBytes &&
+                 write(g_descriptor, line.data(), line.size()) ==
+                     static_cast<ssize_t>(line.size());
+  if (!written) {
+    shared.budget.Return(event, *held_back);
+  }
 }
 
 }  // namespace filberthollow::base
--- a/filberthollow/config/fleet_config_task.cc
+++ b/filberthollow/config/fleet_config_task.cc
@@ -102,7 +102,7 @@
   }
   if (change.tree) {
     base::Log(Level::kInfo, "config_in_force",
-              {{"revision", std::to_string(m_state.revision())}});
+              {{"revision", m_state.revision()}});
     m_listeners.on_tree(m_state.tree());
   }
   if (change.keys || change.tree) {
--- a/filberthollow/daemon/daemon.cc
+++ b/filberthollow/daemon/daemon.cc
@@ -1,5 +1,7 @@
 #include "filberthollow/daemon/daemon.h"
 
+#include <unistd.h>
+
 #include <fmt/format.h>
 
 #include <boost/program_options.hpp>
@@ -33,6 +35,14 @@
                        values.count("check") != 0};
 }
 
+void StartLog(const std::string& process) {
+  base::SetLogProcess(process);
+  // A terminal is shared with the shell, which needs it to wait.
+  if (isatty(STDOUT_FILENO) == 0) {
+    base::MakeNonBlocking(STDOUT_FILENO);
+  }
+}
+
 int FailWith(const char* event, const base::Error& error, int exit_code) {
   base::Log(base::Level::kError, event, {{"error", error.Text()}});
   return exit_code;
--- a/filberthollow/daemon/daemon.h
+++ b/filberthollow/daemon/daemon.h
@@ -8,6 +8,9 @@
 #ifndef FILBERTHOLLOW_DAEMON_DAEMON_H_
 #define FILBERTHOLLOW_DAEMON_DAEMON_H_
 
+#include <fmt/format.h>
+
+#include <cstdio>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -39,6 +42,10 @@
 // FailWith logs an error under the event's name and returns `exit_code`.
 int FailWith(const char* event, const base::Error& error, int exit_code);
 
+// StartLog names the process in its log lines, and keeps a reader that stalls
+// from stalling the process.
+void StartLog(const std::string& process);
+
 // RunDaemon reads and checks the process file and runs the daemon until it is
 // told to stop. Returns the exit code.
 template <class File>
@@ -57,12 +64,15 @@
   auto file = text ? parse(*text, options->settings_path)
                    : base::Result<File>(text.error());
   if (!file) {
-    return FailWith("bad_settings", file.error(), kExitBadFile);
+    // For the person at the terminal; the process has no log yet.
+    fmt::print(stderr, "{}: {}\n", name, file.error().Text());
+    return kExitBadFile;
   }
   if (options->check_only) {
     return kExitDone;
   }
   base::SetLogLevel(file->log_level);
+  StartLog(file->name);
   return run(*file);
 }
 
--- a/filberthollow/decision/flow_router.cc
+++ b/filberthollow/decision/flow_router.cc
@@ -63,7 +63,9 @@
 void FlowRouter::OnReport(const UpstreamReport& report,
                           base::Address agent,
                           base::Millis now) {
-  m_agents[agent] = Agent{.report = report, .heard_at = now};
+  bool silent = m_agents[agent].silent;
+  m_agents[agent] = Agent{
+      .report = report, .heard_at = now, .load_at = now, .silent = silent};
 }
 
 void FlowRouter::OnCallerPacket(std::string_view packet,
@@ -102,7 +104,8 @@
     return;  // the offer that is out decides
   }
   Offer offer{.packet = std::string(packet),
-              .service = route->ServiceFor(ends)};
+              .service = route->ServiceFor(ends),
+              .asked_at = now};
   if (OfferNext(ends, offer, now, actions)) {
     m_offers.emplace(ends, std::move(offer));
   }
@@ -138,7 +141,15 @@
   offer.agent = options[*best].agent;
   offer.tried.push_back(offer.agent);
   offer.sent_at = now;
-  ++m_agents[offer.agent].placed;
+  Agent& agent = m_agents[offer.agent];
+  actions.emplace_back(OfferMade{.flow = ends,
+                                 .agent = offer.agent,
+                                 .tries = offer.tried.size(),
+                                 .options = options.size(),
+                                 .load = agent.report.load,
+                                 .load_age = now - agent.load_at,
+                                 .placed = agent.placed});
+  ++agent.placed;
   actions.emplace_back(
       SendForward{offer.agent, NewForward(offer.packet, false)});
   return true;
@@ -220,11 +231,14 @@
   if (auto known = m_agents.find(agent); known != m_agents.end()) {
     known->second.heard_at = now;
     known->second.report.load = answer.load;
+    known->second.load_at = now;
     known->second.placed = 0;
   }
   auto offer = m_offers.find(answer.flow);
   if (answer.holding == Holding::kHeld) {
     if (offer != m_offers.end()) {
+      actions.emplace_back(
+          OfferAccepted{answer.flow, agent, now - offer->second.asked_at});
       m_offers.erase(offer);
     }
     Found(answer.flow, agent, now, actions);
@@ -256,6 +270,8 @@
   if (search == m_searches.end()) {
     return;
   }
+  actions.emplace_back(FlowFound{ends, agent, search->second.asked.size(),
+                                 now - search->second.started_at});
   for (std::string& packet : search->second.packets) {
     actions.emplace_back(
         SendForward{agent, NewForward(std::move(packet), false)});
@@ -352,6 +368,17 @@
   }
 }
 
+void FlowRouter::NoteSilence(base::Millis now, RouterActions& actions) {
+  for (auto& [address, agent] : m_agents) {
+    bool silent = IsSilent(agent, now);
+    if (silent != agent.silent) {
+      agent.silent = silent;
+      actions.emplace_back(
+          AgentSilence{address, silent, m_isolated, now - agent.heard_at});
+    }
+  }
+}
+
 void FlowRouter::Sweep(base::Millis now) {
   base::Millis idle = m_routes->idle_timeout();
   std::erase_if(m_known, [&](const auto& entry) {
@@ -373,6 +400,7 @@
     return;
   }
   CheckIsolation(now);
+  NoteSilence(now, actions);
   TickOffers(now, actions);
   TickSearches(now, actions);
   if (now >= m_next_sweep) {
--- a/filberthollow/decision/flow_router.h
+++ b/filberthollow/decision/flow_router.h
@@ -44,8 +44,52 @@
   friend bool operator==(const DropPacket&, const DropPacket&) = default;
 };
 
-using RouterAction =
-    std::variant<SendForward, SendLocate, ResetCaller, DropPacket>;
+// The following are notes of what was decided, and by which inputs, for logs
+// and metrics.
+
+// OfferMade: a new flow was offered to an upstream.
+struct OfferMade {
+  flow::FlowEnds flow;
+  base::Address agent;
+  size_t tries = 0;
+  size_t options = 0;     // upstreams that there were to choose from
+  UpstreamLoad load;      // of the one chosen,
+  base::Millis load_age;  // of this age,
+  uint32_t placed = 0;    // and what was placed there since
+  friend bool operator==(const OfferMade&, const OfferMade&) = default;
+};
+// OfferAccepted: an upstream has taken the flow.
+struct OfferAccepted {
+  flow::FlowEnds flow;
+  base::Address agent;
+  base::Millis took;
+  friend bool operator==(const OfferAccepted&, const OfferAccepted&) = default;
+};
+// FlowFound: the agent that holds an unknown flow has answered.
+struct FlowFound {
+  flow::FlowEnds flow;
+  base::Address agent;
+  size_t asked = 0;
+  base::Millis took;
+  friend bool operator==(const FlowFound&, const FlowFound&) = default;
+};
+// AgentSilence: an agent has fallen silent, or is heard again.
+struct AgentSilence {
+  base::Address agent;
+  bool silent = false;
+  bool isolated = false;  // this balancer seems to be cut off itself
+  base::Millis unheard;
+  friend bool operator==(const AgentSilence&, const AgentSilence&) = default;
+};
+
+using RouterAction = std::variant<SendForward,
+                                  SendLocate,
+                                  ResetCaller,
+                                  DropPacket,
+                                  OfferMade,
+                                  OfferAccepted,
+                                  FlowFound,
+                                  AgentSilence>;
 using RouterActions = std::vector<RouterAction>;
 
 // FlowRouter belongs to one task.
@@ -135,6 +179,8 @@
     base::Millis heard_at;
     uint32_t placed = 0;     // since the load was reported
     bool no_answer = false;  // an offer was not answered since it was heard
+    base::Millis load_at;    // when the load was heard
+    bool silent = false;     // as was last noted
   };
   struct KnownFlow {
     base::Address agent;
@@ -145,6 +191,7 @@
     base::ServiceId service{};
     base::Address agent;  // that is offered the flow now
     base::Millis sent_at;
+    base::Millis asked_at;  // when the caller's packet came
     std::vector<base::Address> tried;
   };
   struct Search {
@@ -200,6 +247,7 @@
   bool IsSilent(const Agent& agent, base::Millis now) const;
   static bool WasHeardLately(const Agent& agent, base::Millis now);
   void CheckIsolation(base::Millis now);
+  void NoteSilence(base::Millis now, RouterActions& actions);
   bool TakesFlows(const Agent& agent, base::Millis now) const;
   Forward NewForward(std::string packet, bool guess) const {
     return {m_routes->revision(), guess, std::move(packet)};
--- a/filberthollow/decision/upstream_gate.cc
+++ b/filberthollow/decision/upstream_gate.cc
@@ -73,6 +73,20 @@
                                                  .packet = std::move(packet)}});
 }
 
+void UpstreamGate::NoteOffer(const FlowEnds& ends,
+                             std::optional<Reason> refused,
+                             base::Millis took,
+                             base::Millis now,
+                             GateActions& actions) const {
+  actions.emplace_back(OfferDecided{.flow = ends,
+                                    .taken = !refused,
+                                    .reason = refused.value_or(Reason{}),
+                                    .state = m_state,
+                                    .heard_ago = now - m_last_heard,
+                                    .took = took,
+                                    .load = LoadNow(now)});
+}
+
 void UpstreamGate::OnLocate(const Locate& locate,
                             base::Address balancer,
                             base::Millis now,
@@ -148,6 +162,7 @@
   if (!known) {
     if (auto reason = WhyNotOpen(forward, head)) {
       Answer(balancer, ends, Holding::kRefused, *reason, "", now, actions);
+      NoteOffer(ends, reason, base::Millis(0), now, actions);
       return;
     }
     if (found != m_flows.end()) {
@@ -192,6 +207,7 @@
   }
   if (begins) {
     const CompiledRoute* route = m_routes->Find(head.destination);
+    flow.waiting_since = now;
     m_queue.Add({.flow = head.FromCaller(),
                  .priority = route == nullptr ? 0 : route->priority,
                  .latency_goal =
@@ -213,6 +229,8 @@
       continue;
     }
     Flow& flow = found->second;
+    actions.emplace_back(
+        RequestWaited{*ends, now - flow.waiting_since, m_queue.size()});
     for (auto& [sequence, packet] : std::exchange(flow.waiting, {})) {
       actions.emplace_back(ToUpstream{std::move(packet)});
     }
@@ -273,11 +291,7 @@
                                     const PacketHead& head,
                                     base::Millis now,
                                     GateActions& actions) {
-  m_last_heard = now;
-  m_owed_since = base::kNever;
-  if (m_silent) {
-    SetSilent(false, now, actions);
-  }
+  HearUpstream(now, actions);
   if (head.bounced) {
     OnBounced(head, now, actions);
     return;
@@ -294,6 +308,9 @@
   }
   bool accepted = !flow.answered;
   bool was_open = flow.stage != Stage::kClosed;
+  if (flow.busy && head.data_bytes > 0) {
+    actions.emplace_back(RequestAnswered{now - flow.busy_since});
+  }
   NoteUpstreamPacket(flow, head, now);
   if (was_open && flow.stage == Stage::kClosed) {
     --m_open;
@@ -301,6 +318,7 @@
   DeliverWaiting(now, actions);
   if (accepted && !added) {
     Answer(flow.balancer, ends, Holding::kHeld, {}, "", now, actions);
+    NoteOffer(ends, std::nullopt, now - flow.offered_at, now, actions);
   }
   actions.emplace_back(ToCaller{ends.caller, std::string(packet)});
 }
@@ -314,6 +332,8 @@
     if (found != m_flows.end() && !found->second.answered) {
       Answer(found->second.balancer, ends, Holding::kRefused,
              Reason::kConnectionLimit, "", now, actions);
+      NoteOffer(ends, Reason::kConnectionLimit,
+                now - found->second.offered_at, now, actions);
       Erase(found, now);
     }
     return;
@@ -393,11 +413,7 @@
   m_slots = std::max(beat.slots, 1U);
   m_queue.SetSlots(m_slots);
   m_cold_until = now + beat.cold_for;
-  m_last_heard = now;
-  m_owed_since = base::kNever;
-  if (m_silent) {
-    SetSilent(false, now, actions);
-  }
+  HearUpstream(now, actions);
   if (news) {
     actions.emplace_back(ReportNow{});
   }
@@ -413,15 +429,22 @@
   if (!answered) {
     return;
   }
-  m_last_heard = now;
+  HearUpstream(now, actions);
+}
+
+void UpstreamGate::HearUpstream(base::Millis now, GateActions& actions) {
   if (m_silent) {
     SetSilent(false, now, actions);
   }
+  m_last_heard = now;
+  m_owed_since = base::kNever;
 }
 
 void UpstreamGate::SetSilent(bool silent,
                              base::Millis now,
                              GateActions& actions) {
+  actions.emplace_back(UpstreamSilence{silent, now - m_last_heard,
+                                       now - m_owed_since >= kOpenPatience});
   m_silent = silent;
   m_silent_since = silent ? now : base::kNever;
   m_check_failed = false;
@@ -499,6 +522,8 @@
     }
     Answer(flow->second.balancer, flow->first, Holding::kRefused,
            Reason::kUpstreamSilent, "", now, actions);
+    NoteOffer(flow->first, Reason::kUpstreamSilent,
+              now - flow->second.offered_at, now, actions);
     flow = Erase(flow, now);
   }
 }
--- a/filberthollow/decision/upstream_gate.h
+++ b/filberthollow/decision/upstream_gate.h
@@ -61,12 +61,51 @@
   friend bool operator==(ReportNow, ReportNow) = default;
 };
 
+// The following are notes of what was decided, and by which inputs, for logs
+// and metrics.
+
+// OfferDecided: a new flow was taken or refused.
+struct OfferDecided {
+  flow::FlowEnds flow;
+  bool taken = false;
+  flow::Reason reason{};  // if it was refused
+  UpstreamState state{};
+  base::Millis heard_ago;  // the upstream
+  base::Millis took;       // the upstream to answer
+  UpstreamLoad load;
+  friend bool operator==(const OfferDecided&, const OfferDecided&) = default;
+};
+// RequestWaited: a request was delivered late, since the upstream was full.
+struct RequestWaited {
+  flow::FlowEnds flow;
+  base::Millis waited;
+  size_t still_waiting = 0;
+  friend bool operator==(const RequestWaited&, const RequestWaited&) = default;
+};
+// RequestAnswered: the first byte of an answer has come.
+struct RequestAnswered {
+  base::Millis took;
+  friend bool operator==(RequestAnswered, RequestAnswered) = default;
+};
+// UpstreamSilence: the upstream has fallen silent, or is heard again.
+struct UpstreamSilence {
+  bool silent = false;
+  base::Millis heard_ago;
+  bool owes_opening = false;  // it has not answered an opening packet
+  friend bool operator==(const UpstreamSilence&,
+                         const UpstreamSilence&) = default;
+};
+
 using GateAction = std::variant<ToUpstream,
                                 ToCaller,
                                 ResetCaller,
                                 AnswerBalancer,
                                 CheckUpstream,
-                                ReportNow>;
+                                ReportNow,
+                                OfferDecided,
+                                RequestWaited,
+                                RequestAnswered,
+                                UpstreamSilence>;
 using GateActions = std::vector<GateAction>;
 
 // GateOptions are fixed at the start.
@@ -183,6 +222,7 @@
     // Packets of a request that waits for the upstream, with their sequence
     // numbers.
     std::map<uint32_t, std::string> waiting;
+    base::Millis waiting_since;
   };
   using Flows = std::unordered_map<flow::FlowEnds, Flow, flow::FlowEndsHash>;
 
@@ -227,7 +267,15 @@
   void AdvanceRate(base::Millis now);
   // Tells the callers of all open flows that their upstream has lost them.
   void LoseFlows(flow::Reason reason, GateActions& actions);
+  // Notes a sign of life.
+  void HearUpstream(base::Millis now, GateActions& actions);
   void SetSilent(bool silent, base::Millis now, GateActions& actions);
+  // Notes that an offer was taken, or refused for a reason.
+  void NoteOffer(const flow::FlowEnds& ends,
+                 std::optional<flow::Reason> refused,
+                 base::Millis took,
+                 base::Millis now,
+                 GateActions& actions) const;
   // Stops counting requests that have been without an answer for too long.
   void ExpireBusy(base::Millis now);
   void CheckSilence(base::Millis now, GateActions& actions);
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -1,6 +1,7 @@
 #include "filberthollow/passthrough/agent_task.h"
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -15,6 +16,13 @@
 
 constexpr int64_t kMillisPerSecond = 1000;
 
+constexpr std::array<std::string_view, 4> kStateNames{"unknown", "ready",
+                                                      "draining", "gone"};
+
+std::string_view StateName(UpstreamState state) {
+  return kStateNames.at(static_cast<size_t>(state));
+}
+
 decision::GateOptions GateOptionsOf(const NodeFile& file) {
   return {.service = base::ServiceIdOf(file.service),
           .data_centre = base::HashBytes(file.data_centre),
@@ -88,8 +96,8 @@
   if (UpstreamState after = m_gate.Report(Now()).state; after != before) {
     base::Log(Level::kInfo, "upstream_state",
               {{"upstream", m.beat.id},
-               {"state", std::to_string(static_cast<int>(after))},
-               {"sequence", std::to_string(m.beat.sequence)}});
+               {"state", std::string(StateName(after))},
+               {"sequence", m.beat.sequence}});
   }
   Act();
 }
@@ -198,9 +206,10 @@
 
 void AgentTask::ActOn(const decision::ResetCaller& action) {
   m_metrics.Count(action.reason);
-  base::Log(Level::kInfo, "flow_reset",
+  base::Log(Level::kWarning, "flow_reset",
             {{"flow", action.flow.Text()},
-             {"reason", std::string(flow::ReasonName(action.reason))}});
+             {"reason", std::string(flow::ReasonName(action.reason))},
+             {"revision", m_gate.revision()}});
   if (!m_sockets.outbound->Send(m_format.Reset(action.flow, action.sequence),
                                 {action.flow.caller.ip, m_caller_port})) {
     m_metrics.Count(flow::Reason::kSendFailed);
@@ -223,6 +232,44 @@
   ReportToLively();
 }
 
+void AgentTask::ActOn(const decision::OfferDecided& note) {
+  std::string reason =
+      note.taken ? "" : std::string(flow::ReasonName(note.reason));
+  if (note.taken) {
+    m_metrics.Record("open_ms", note.took);
+  }
+  base::Log(note.taken ? Level::kInfo : Level::kWarning,
+            note.taken ? "flow_taken" : "flow_refused",
+            {{"flow", note.flow.Text()},
+             {"reason", reason},
+             {"upstream", std::string(StateName(note.state))},
+             {"heard_ago_ms", note.heard_ago},
+             {"took_ms", note.took},
+             {"busy", note.load.busy},
+             {"open", note.load.open},
+             {"slots", note.load.slots},
+             {"revision", m_gate.revision()}});
+}
+
+void AgentTask::ActOn(const decision::RequestWaited& note) {
+  m_metrics.Record("request_wait_ms", note.waited);
+  base::Log(Level::kInfo, "request_waited",
+            {{"flow", note.flow.Text()},
+             {"waited_ms", note.waited},
+             {"still_waiting", note.still_waiting}});
+}
+
+void AgentTask::ActOn(const decision::RequestAnswered& note) {
+  m_metrics.Record("request_ms", note.took);
+}
+
+void AgentTask::ActOn(const decision::UpstreamSilence& note) {
+  m_metrics.Add(note.silent ? "upstream_lost" : "upstream_regained");
+  base::Log(Level::kWarning, note.silent ? "upstream_silent" : "upstream_heard",
+            {{"heard_ago_ms", note.heard_ago},
+             {"owes_opening", note.owes_opening ? "yes" : "no"}});
+}
+
 void AgentTask::SendToPeer(const wire::PacketMessage& message,
                            base::Address to) {
   if (!m_sockets.peers->Send(wire::EncodePacketMessage(message), to)) {
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -80,6 +80,10 @@
   void ActOn(const decision::AnswerBalancer& action);
   void ActOn(const decision::CheckUpstream& action);
   void ActOn(const decision::ReportNow& action);
+  void ActOn(const decision::OfferDecided& note);
+  void ActOn(const decision::RequestWaited& note);
+  void ActOn(const decision::RequestAnswered& note);
+  void ActOn(const decision::UpstreamSilence& note);
   void OnTick();
   void ArmTick();
   void OnReportTimer();
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -9,12 +9,9 @@
 #include "filberthollow/config/config_messages.h"
 
 namespace filberthollow::passthrough {
-namespace {
 
 using base::Level;
 
-}  // namespace
-
 BalancerTask::BalancerTask(const base::Clock& clock,
                            kernel::Registry& registry,
                            const NodeFile& file,
@@ -121,6 +118,10 @@
   }
   if (m.holding == decision::Holding::kRefused) {
     m_metrics.Count(m.reason);
+    base::Log(Level::kWarning, "offer_refused",
+              {{"flow", m.flow.Text()},
+               {"agent", from.Text()},
+               {"reason", std::string(flow::ReasonName(m.reason))}});
   }
   m_router.OnAnswer(m, head, from, Now(), m_actions);
   Act();
@@ -174,10 +175,11 @@
 
 void BalancerTask::ActOn(const decision::ResetCaller& action) {
   m_metrics.Count(action.reason);
-  base::Log(Level::kInfo, "flow_reset",
+  base::Log(Level::kWarning, "flow_reset",
             {{"flow", action.flow.Text()},
              {"reason", std::string(flow::ReasonName(action.reason))},
-             {"revision", std::to_string(m_router.revision())}});
+             {"agents", m_router.Agents().size()},
+             {"revision", m_router.revision()}});
   if (!m_sockets.callers->Send(m_format.Reset(action.flow, action.sequence),
                                {action.flow.caller.ip, m_caller_port})) {
     m_metrics.Count(flow::Reason::kSendFailed);
@@ -188,6 +190,43 @@
   m_metrics.Count(action.reason);
 }
 
+void BalancerTask::ActOn(const decision::OfferMade& note) {
+  m_metrics.Add(note.tries > 1 ? "offers_repeated" : "offers_first");
+  base::Log(note.tries > 1 ? Level::kWarning : Level::kInfo, "flow_offered",
+            {{"flow", note.flow.Text()},
+             {"agent", note.agent.Text()},
+             {"tries", note.tries},
+             {"options", note.options},
+             {"busy", note.load.busy},
+             {"open", note.load.open},
+             {"slots", note.load.slots},
+             {"placed", note.placed},
+             {"load_age_ms", note.load_age},
+             {"revision", m_router.revision()}});
+}
+
+void BalancerTask::ActOn(const decision::OfferAccepted& note) {
+  m_metrics.Record("offer_ms", note.took);
+}
+
+void BalancerTask::ActOn(const decision::FlowFound& note) {
+  m_metrics.Add("flows_found");
+  m_metrics.Record("search_ms", note.took);
+  base::Log(Level::kInfo, "flow_found",
+            {{"flow", note.flow.Text()},
+             {"agent", note.agent.Text()},
+             {"asked", note.asked},
+             {"took_ms", note.took}});
+}
+
+void BalancerTask::ActOn(const decision::AgentSilence& note) {
+  m_metrics.Add(note.silent ? "agents_lost" : "agents_regained");
+  base::Log(Level::kWarning, note.silent ? "agent_silent" : "agent_heard",
+            {{"agent", note.agent.Text()},
+             {"unheard_ms", note.unheard},
+             {"isolated", note.isolated ? "yes" : "no"}});
+}
+
 void BalancerTask::SendToPeer(const wire::PacketMessage& message,
                               base::Address to) {
   if (!m_sockets.peers->Send(wire::EncodePacketMessage(message), to)) {
@@ -220,8 +259,8 @@
   }
   m_ready = ready;
   base::Log(Level::kInfo, ready ? "ready" : "not_ready",
-            {{"revision", std::to_string(m_router.revision())},
-             {"agents", std::to_string(m_router.Agents().size())}});
+            {{"revision", m_router.revision()},
+             {"agents", m_router.Agents().size()}});
   Post(kControlService, ControlMessage(ReadinessChanged{ready}));
 }
 
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -68,6 +68,10 @@
   void ActOn(const decision::SendLocate& action);
   void ActOn(const decision::ResetCaller& action);
   void ActOn(const decision::DropPacket& action);
+  void ActOn(const decision::OfferMade& note);
+  void ActOn(const decision::OfferAccepted& note);
+  void ActOn(const decision::FlowFound& note);
+  void ActOn(const decision::AgentSilence& note);
   void OnTick();
   void ArmTick();
   void OnHelloTimer();
--- a/filberthollow/passthrough/node_process.cc
+++ b/filberthollow/passthrough/node_process.cc
@@ -4,6 +4,7 @@
 #include <random>
 #include <utility>
 
+#include "filberthollow/admin/admin_task.h"
 #include "filberthollow/base/log.h"
 #include "filberthollow/daemon/daemon.h"
 #include "filberthollow/passthrough/agent_task.h"
@@ -63,7 +64,7 @@
       continue;
     }
     base::Log(Level::kInfo, "reloaded",
-              {{"seeds", std::to_string(file->seeds.size())}});
+              {{"seeds", file->seeds.size()}});
     registry.Post(kPacketsService, PacketsMessage(PeersFound{file->seeds}));
   }
 }
@@ -82,13 +83,25 @@
     return daemon::FailWith("bind_failed", listening.error(),
                             daemon::kExitNoSocket);
   }
+  auto admin = std::make_unique<admin::AdminTask>(
+      clock, registry, file.metrics,
+      std::vector<admin::ReportSource>{
+          admin::SourceFor<PacketsMessage>(registry, kPacketsService),
+          admin::SourceFor<config::ConfigMessage>(registry,
+                                                  config::kConfigService)});
+  if (auto listening = admin->Listen(); !listening) {
+    return daemon::FailWith("bind_failed", listening.error(),
+                            daemon::kExitNoSocket);
+  }
   kernel.Add(std::move(control));
+  kernel.Add(std::move(admin));
   kernel.Add(std::make_unique<config::FleetConfigTask>(
       clock, registry, std::move(options), Listeners(registry, file.service)));
   base::Log(Level::kInfo, "started",
             {{"name", file.name},
              {"data_centre", file.data_centre},
              {"peers", file.peers.Text()},
+             {"metrics", file.metrics.Text()},
              {"first_start", file.first_start ? "yes" : "no"}});
   kernel.Start();
   registry.Post(kPacketsService, PacketsMessage(PeersFound{file.seeds}));
--- a/filberthollow/platform/node_settings.cc
+++ b/filberthollow/platform/node_settings.cc
@@ -14,6 +14,8 @@
 constexpr const char* kPathVariable = "FILBERTHOLLOW_BOOT";
 constexpr const char* kDefaultPath = "/etc/filberthollow/local.conf";
 constexpr int64_t kMillisPerSecond = 1000;
+// The port that deploy/system.toml names for metrics.
+constexpr uint16_t kMetricsPort = 9464;
 
 // Lines reads the fields of a settings file; the first error is kept.
 class Lines {
@@ -135,7 +137,7 @@
       .data_centre = lines.Text("zone"),
       .peers = {packets.ip, peer_port},
       .readiness = lines.AddressOf("listenAddresses.ready"),
-      .metrics = {packets.ip, static_cast<uint16_t>(peer_port + 1)},
+      .metrics = {packets.ip, kMetricsPort},
       .platform = lines.AddressOf("platform.address"),
       .seeds = PeerSeeds(lines, peer_port),
       .first_start = lines.Text("bootstrap") == "true",
--- a/filberthollow/platform/operator_config.cc
+++ b/filberthollow/platform/operator_config.cc
@@ -92,7 +92,7 @@
     auto snapshot = ParseOperatorConfig(*object.value);
     if (!snapshot) {
       base::Log(base::Level::kError, "operator_config_refused",
-                {{"revision", std::to_string(object.version)},
+                {{"revision", object.version},
                  {"error", snapshot.error().Text()}});
       continue;
     }
--- a/filberthollow/programs/filberthollow_caller.cc
+++ b/filberthollow/programs/filberthollow_caller.cc
@@ -1,5 +1,7 @@
 // filberthollow-caller: opens flows, sends requests, and prints what became of
 // them.
+#include <unistd.h>
+
 #include <fmt/format.h>
 
 #include <boost/program_options.hpp>
@@ -7,6 +9,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "filberthollow/base/log.h"
 #include "filberthollow/caller/load_task.h"
 #include "filberthollow/kernel/kernel.h"
 
@@ -153,6 +156,7 @@
   if (!ParseBalancers(values["balancers"].as<std::string>(), plan)) {
     return kUsageExit;
   }
+  base::SetLogDescriptor(STDERR_FILENO);  // standard output holds the result
   kernel::BlockSignals();
   base::SystemClock clock;
   kernel::Kernel kernel;
--- a/filberthollow/programs/filberthollow_passthrough.cc
+++ b/filberthollow/programs/filberthollow_passthrough.cc
@@ -5,7 +5,6 @@
 #include <array>
 #include <string_view>
 
-#include "filberthollow/base/log.h"
 #include "filberthollow/daemon/daemon.h"
 #include "filberthollow/passthrough/node_process.h"
 #include "filberthollow/platform/adapter.h"
@@ -47,8 +46,10 @@
   filberthollow::kernel::BlockSignals();
   auto file = platform::ReadNodeSettings();
   if (!file) {
-    return daemon::FailWith("settings_refused", file.error(),
-                            daemon::kExitBadFile);
+    fmt::print(stderr, "filberthollow-passthrough: {}\n",
+               file.error().Text());
+    return daemon::kExitBadFile;
   }
+  daemon::StartLog(file->name);
   return role->run(*file, platform::MakeAdapter(*file));
 }
--- a/filberthollow/testing/faults_fleet_test.py
+++ b/filberthollow/testing/faults_fleet_test.py
@@ -6,7 +6,7 @@
 import time
 import unittest
 
-from fleet import Fleet, check_runs, http, wait_until
+from fleet import Fleet, check_runs, events_of, http, wait_until
 
 TREE = {"settings": {"slots": 4}, "services": {"desk": {}, "maps": {}}}
 IN_FORCE_SECONDS = 11  # from the letter
@@ -216,9 +216,10 @@
                                 timeout_ms=4000)
             wait_until(lambda: target.log()["started"] == 1, 5, "it runs")
             target.agent.signal(signal.SIGTERM)
-            wait_until(lambda: "event=stopping" in target.agent.log(), 5, "")
+            wait_until(lambda: events_of(target.agent.log(), "stopping"), 5, "")
             self.assertEqual(target.agent.stop(5), 0)
-            self.assertIn("event=cut_requests count=1", target.agent.log())
+            cut = events_of(target.agent.log(), "cut_requests")
+            self.assertEqual([1], [line["count"] for line in cut])
             result = f.finish_call(load)
             self.assertEqual(result["outcomes"]["unknown"], 1)
 
--- a/filberthollow/testing/fleet.py
+++ b/filberthollow/testing/fleet.py
@@ -13,7 +13,6 @@
 import json
 import os
 import pathlib
-import re
 import shutil
 import signal
 import subprocess
@@ -26,12 +25,13 @@
 BIN = pathlib.Path(os.environ.get("FILBERTHOLLOW_BIN", ROOT / "build/release"))
 ANY_PORT = "127.0.0.1:0"
 START_SECONDS = 20
-FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
 
 
-def fields_of(line):
-    """Returns the fields of a structured log line."""
-    return {name: value.strip('"') for name, value in FIELD.findall(line)}
+def events_of(text, event):
+    """Returns the log lines of one event, as dictionaries."""
+    lines = [json.loads(line) for line in text.splitlines()
+             if line.startswith("{") and line.endswith("}")]
+    return [line for line in lines if line.get("event") == event]
 
 
 def wait_until(condition, seconds, what):
@@ -66,16 +66,14 @@
         self.log_path = folder / f"{name}-{time.monotonic_ns()}.log"
         with open(self.log_path, "wb") as log:
             self.popen = subprocess.Popen(
-                self.arguments, stderr=log, stdout=subprocess.DEVNULL)
+                self.arguments, stderr=log, stdout=log)
         self.at = wait_until(self._listening, START_SECONDS, f"{name} listens")
 
     def _listening(self):
         if self.popen.poll() is not None:
             raise RuntimeError(f"{self.name} ended: {self.log()}")
-        for line in self.log().splitlines():
-            if "event=listening" in line:
-                return fields_of(line)
-        return None
+        lines = events_of(self.log(), "listening")
+        return lines[0] if lines else None
 
     def log(self):
         return self.log_path.read_text(errors="replace")
