--- a/filberthollow/config/config.cc
+++ b/filberthollow/config/config.cc
@@ -144,8 +144,8 @@
     return base::Done{};
   }
   if (object.name == platform::kSnapshotObject) {
-    auto parsed = settings::ParseSnapshot(object.value.value_or("{}"),
-                                          object.name);
+    auto parsed =
+        settings::ParseSnapshot(object.value.value_or("{}"), object.name);
     if (!parsed) {
       return parsed.error();
     }
@@ -195,10 +195,9 @@
   }
   change.tree = change.tree || newest != m_tree->revision;
   if (change.tree) {
-    m_tree = std::make_shared<const TreeVersion>(
-        TreeVersion{newest, std::move(snapshot.tree),
-                    std::move(snapshot.routes),
-                    std::move(snapshot.health_paths)});
+    m_tree = std::make_shared<const TreeVersion>(TreeVersion{
+        newest, std::move(snapshot.tree), std::move(snapshot.routes),
+        std::move(snapshot.health_paths)});
   }
   return change;
 }
--- a/filberthollow/config/fleet_config_task.cc
+++ b/filberthollow/config/fleet_config_task.cc
@@ -72,7 +72,7 @@
 void FleetConfigTask::Watch(base::Millis wait) {
   m_metrics.Add("platform_watches");
   m_store->Watch({platform::kConfigPrefix, m_watched_to, wait},
-                [this](const auto& answer) { OnWatched(answer); });
+                 [this](const auto& answer) { OnWatched(answer); });
 }
 
 void FleetConfigTask::OnWatched(
@@ -86,9 +86,8 @@
   SetReachable(true, "");
   m_watch_backoff.Reset();
   m_watched_to = std::max(m_watched_to, answer->revision);
-  Publish(answer->complete
-              ? m_state.ApplyAll(answer->objects, answer->revision)
-              : m_state.Apply(answer->objects));
+  Publish(answer->complete ? m_state.ApplyAll(answer->objects, answer->revision)
+                           : m_state.Apply(answer->objects));
   Watch(kWatchWait);
 }
 
@@ -134,18 +133,19 @@
     loop().After(m_register_backoff.Next(),
                  [this, version] { Register(version); });
   };
-  m_store->Write(object, if_version, BootstrapText(*m_options.entry),
-                [this, retry, if_version](const auto& answer) {
-                  if (answer && answer->kind == WriteAnswer::kWritten) {
-                    ListPeers();
-                  } else if (answer && answer->kind == WriteAnswer::kConflict) {
-                    // An earlier run's entry, or this write's own effect after
-                    // its answer was lost: replace what is there.
-                    Register(answer->version);
-                  } else {
-                    retry(if_version);
-                  }
-                });
+  m_store->Write(
+      object, if_version, BootstrapText(*m_options.entry),
+      [this, retry, if_version](const auto& answer) {
+        if (answer && answer->kind == WriteAnswer::kWritten) {
+          ListPeers();
+        } else if (answer && answer->kind == WriteAnswer::kConflict) {
+          // An earlier run's entry, or this write's own effect after
+          // its answer was lost: replace what is there.
+          Register(answer->version);
+        } else {
+          retry(if_version);
+        }
+      });
 }
 
 void FleetConfigTask::ListPeers() {
--- a/filberthollow/decision/balancer_set.cc
+++ b/filberthollow/decision/balancer_set.cc
@@ -11,8 +11,7 @@
   if (balancer == m_self) {
     return false;
   }
-  return m_balancers
-      .insert_or_assign(balancer, Entry{now, true, leaving})
+  return m_balancers.insert_or_assign(balancer, Entry{now, true, leaving})
       .second;
 }
 
--- a/filberthollow/decision/flow_router.cc
+++ b/filberthollow/decision/flow_router.cc
@@ -41,8 +41,8 @@
 }
 
 bool FlowRouter::TakesFlows(const Agent& agent, base::Millis now) const {
-  return agent.report.state == UpstreamState::kReady &&
-         !agent.report.silent && !agent.no_answer && !IsSilent(agent, now);
+  return agent.report.state == UpstreamState::kReady && !agent.report.silent &&
+         !agent.no_answer && !IsSilent(agent, now);
 }
 
 bool FlowRouter::IsReady(base::Millis now) const {
@@ -121,8 +121,8 @@
                  offer.tried.end();
     if (agent.report.service == offer.service && !tried &&
         TakesFlows(agent, now)) {
-      options.push_back({address, agent.report.data_centre, agent.report.load,
-                         agent.placed});
+      options.push_back(
+          {address, agent.report.data_centre, agent.report.load, agent.placed});
     }
   }
   std::optional<size_t> best =
@@ -184,8 +184,8 @@
         ResetCaller{ends, head.acknowledged, Reason::kFlowLost});
     return;
   }
-  actions.emplace_back(SendForward{known->second.agent,
-                                   NewForward(std::string(packet), false)});
+  actions.emplace_back(
+      SendForward{known->second.agent, NewForward(std::string(packet), false)});
 }
 
 void FlowRouter::StartSearch(std::string_view packet,
@@ -309,8 +309,8 @@
     if (!holding) {
       auto agent = m_agents.find(address);
       all_answered = false;
-      silent_only = silent_only && (agent == m_agents.end() ||
-                                    IsSilent(agent->second, now));
+      silent_only = silent_only &&
+                    (agent == m_agents.end() || IsSilent(agent->second, now));
     } else if (*holding == Holding::kUnsure) {
       guessed = true;
       for (const std::string& packet : search.packets) {
@@ -323,9 +323,9 @@
   bool certain = now - m_started > kCertainAfter && !guessed &&
                  (all_answered || (silent_only && repeatable));
   if (certain && search.wants_answer) {
-    actions.emplace_back(ResetCaller{
-        ends, search.acknowledged,
-        all_answered ? Reason::kNoSuchFlow : Reason::kFlowLost});
+    actions.emplace_back(
+        ResetCaller{ends, search.acknowledged,
+                    all_answered ? Reason::kNoSuchFlow : Reason::kFlowLost});
   } else if (!guessed) {
     actions.emplace_back(DropPacket{Reason::kNoSuchFlow});
   }
--- a/filberthollow/decision/flow_router.h
+++ b/filberthollow/decision/flow_router.h
@@ -204,8 +204,7 @@
     std::map<base::Address, std::optional<Holding>> asked;
   };
   template <class Value>
-  using ByFlow =
-      std::unordered_map<flow::FlowEnds, Value, flow::FlowEndsHash>;
+  using ByFlow = std::unordered_map<flow::FlowEnds, Value, flow::FlowEndsHash>;
 
   void OnOpening(std::string_view packet,
                  const flow::PacketHead& head,
--- a/filberthollow/decision/flow_router_test.cc
+++ b/filberthollow/decision/flow_router_test.cc
@@ -90,8 +90,7 @@
 
 BOOST_FIXTURE_TEST_CASE(AnAddressWithoutARouteIsResetAtOnce, Fixture) {
   Report(kFirst);
-  auto resets =
-      Only<ResetCaller>(FromCaller(Opening(testing::kUnknownRoute)));
+  auto resets = Only<ResetCaller>(FromCaller(Opening(testing::kUnknownRoute)));
   BOOST_REQUIRE(resets.size() == 1U);
   BOOST_TEST((resets[0].reason == Reason::kNoRoute));
 }
--- a/filberthollow/decision/packet_messages.h
+++ b/filberthollow/decision/packet_messages.h
@@ -22,7 +22,7 @@
 
 // UpstreamState is what an upstream says of itself.
 enum class UpstreamState : uint8_t {
-  kUnknown,   // nothing was heard of it yet
+  kUnknown,  // nothing was heard of it yet
   kReady,
   kDraining,  // keeps its flows and takes no new ones
   kGone,
@@ -32,11 +32,11 @@
 struct UpstreamBeat {
   std::string id;
   std::string service;
-  base::Millis started;    // calendar time of its start, which names its run
-  uint64_t sequence = 0;   // grows with each heartbeat of a run
+  base::Millis started;   // calendar time of its start, which names its run
+  uint64_t sequence = 0;  // grows with each heartbeat of a run
   UpstreamState state{};
-  uint32_t slots = 1;      // requests that it works on at one time
-  base::Millis cold_for;   // how much longer it is slow after its start
+  uint32_t slots = 1;     // requests that it works on at one time
+  base::Millis cold_for;  // how much longer it is slow after its start
   friend bool operator==(const UpstreamBeat&, const UpstreamBeat&) = default;
 };
 
@@ -56,10 +56,10 @@
   uint64_t data_centre = 0;  // hash of its name
   uint64_t run = 0;          // names one run of the upstream
   UpstreamState state{};
-  bool silent = false;       // does not answer what it must answer at once
+  bool silent = false;  // does not answer what it must answer at once
   UpstreamLoad load;
-  uint64_t revision = 0;     // of the configuration in force at the agent
-  base::Millis interval;     // until the next report
+  uint64_t revision = 0;  // of the configuration in force at the agent
+  base::Millis interval;  // until the next report
   friend bool operator==(const UpstreamReport&,
                          const UpstreamReport&) = default;
 };
@@ -90,7 +90,7 @@
 
 // Holding is what an agent says of a flow.
 enum class Holding : uint8_t {
-  kHeld,     // its upstream has accepted the flow
+  kHeld,  // its upstream has accepted the flow
   kNotHeld,
   kUnsure,   // the agent started after its upstream and has not seen the flow
   kRefused,  // the upstream takes no new flow; nothing has run
--- a/filberthollow/decision/request_queue.cc
+++ b/filberthollow/decision/request_queue.cc
@@ -26,8 +26,7 @@
   auto first = m_waiting.begin();
   std::deque<WaitingRequest>& requests = first->second;
   const WaitingRequest& oldest = requests.front();
-  bool overloaded =
-      (now - oldest.since) * kGoalParts > oldest.latency_goal;
+  bool overloaded = (now - oldest.since) * kGoalParts > oldest.latency_goal;
   flow::FlowEnds flow = overloaded ? requests.back().flow : oldest.flow;
   if (overloaded) {
     requests.pop_back();
--- a/filberthollow/decision/route_table.cc
+++ b/filberthollow/decision/route_table.cc
@@ -8,8 +8,8 @@
 constexpr int64_t kMillisPerSecond = 1000;
 
 uint64_t HashOf(const flow::FlowEnds& flow) {
-  return base::HashWords({flow.caller.ip, flow.caller.port, flow.route.ip,
-                          flow.route.port});
+  return base::HashWords(
+      {flow.caller.ip, flow.caller.port, flow.route.ip, flow.route.port});
 }
 
 }  // namespace
--- a/filberthollow/decision/upstream_gate.cc
+++ b/filberthollow/decision/upstream_gate.cc
@@ -66,11 +66,12 @@
                           std::string packet,
                           base::Millis now,
                           GateActions& actions) const {
-  actions.emplace_back(AnswerBalancer{balancer, FlowAnswer{.flow = ends,
-                                                 .holding = holding,
-                                                 .reason = reason,
-                                                 .load = LoadNow(now),
-                                                 .packet = std::move(packet)}});
+  actions.emplace_back(
+      AnswerBalancer{balancer, FlowAnswer{.flow = ends,
+                                          .holding = holding,
+                                          .reason = reason,
+                                          .load = LoadNow(now),
+                                          .packet = std::move(packet)}});
 }
 
 void UpstreamGate::NoteOffer(const FlowEnds& ends,
@@ -136,8 +137,8 @@
     return Reason::kUpstreamSilent;
   }
   // A balancer with a newer configuration knows better.
-  bool judge = m_routes->revision() > 0 &&
-               m_routes->revision() >= forward.revision;
+  bool judge =
+      m_routes->revision() > 0 && m_routes->revision() >= forward.revision;
   const CompiledRoute* route = m_routes->Find(head.destination);
   if (judge && route == nullptr) {
     return Reason::kNoRoute;
@@ -332,8 +333,8 @@
     if (found != m_flows.end() && !found->second.answered) {
       Answer(found->second.balancer, ends, Holding::kRefused,
              Reason::kConnectionLimit, "", now, actions);
-      NoteOffer(ends, Reason::kConnectionLimit,
-                now - found->second.offered_at, now, actions);
+      NoteOffer(ends, Reason::kConnectionLimit, now - found->second.offered_at,
+                now, actions);
       Erase(found, now);
     }
     return;
@@ -454,8 +455,7 @@
 void UpstreamGate::LoseFlows(Reason reason, GateActions& actions) {
   for (const auto& [ends, flow] : m_flows) {
     if (flow.stage == Stage::kOpen) {
-      actions.emplace_back(
-          ResetCaller{ends, flow.caller_acknowledged, reason});
+      actions.emplace_back(ResetCaller{ends, flow.caller_acknowledged, reason});
     }
   }
   m_flows.clear();
@@ -498,8 +498,8 @@
     m_checking = true;
     actions.emplace_back(CheckUpstream{});
   }
-  bool dead = m_silent && m_check_failed &&
-              now - m_silent_since >= kDeadPatience;
+  bool dead =
+      m_silent && m_check_failed && now - m_silent_since >= kDeadPatience;
   if (dead && !m_flows.empty()) {
     LoseFlows(Reason::kUpstreamSilent, actions);
   }
--- a/filberthollow/decision/upstream_gate.h
+++ b/filberthollow/decision/upstream_gate.h
@@ -206,14 +206,14 @@
 
   struct Flow {
     Stage stage = Stage::kOffered;
-    bool answered = false;       // the upstream has accepted it
+    bool answered = false;  // the upstream has accepted it
     bool caller_finished = false;
     bool upstream_finished = false;
     bool busy = false;           // a request has no answer yet
-    bool upstream_seen = false;      // `upstream_end` is known
-    bool caller_seen = false;        // `caller_end` is known
-    uint32_t upstream_end = 0;       // after the last byte that it sent
-    uint32_t caller_end = 0;         // after the last byte of the caller
+    bool upstream_seen = false;  // `upstream_end` is known
+    bool caller_seen = false;    // `caller_end` is known
+    uint32_t upstream_end = 0;   // after the last byte that it sent
+    uint32_t caller_end = 0;     // after the last byte of the caller
     uint32_t caller_acknowledged = 0;
     base::Address balancer;  // that offered the flow
     base::Millis offered_at;
@@ -300,10 +300,10 @@
   base::Millis m_cold_until{0};
 
   // Signs of life.
-  base::Millis m_last_heard;   // any packet, heartbeat or health answer
+  base::Millis m_last_heard;  // any packet, heartbeat or health answer
   base::Millis m_owed_since{base::kNever};  // first unanswered opening packet
   bool m_silent = false;
-  bool m_checking = false;     // a health check is under way
+  bool m_checking = false;  // a health check is under way
   base::Millis m_silent_since{base::kNever};
   base::Millis m_next_check{0};
   bool m_check_failed = false;  // the last health check since it fell silent
--- a/filberthollow/decision/upstream_gate_test.cc
+++ b/filberthollow/decision/upstream_gate_test.cc
@@ -86,8 +86,8 @@
   BOOST_TEST(Only<ToUpstream>(Forward(Opening())).size() == 1U);
   BOOST_TEST((Ask() == Holding::kNotHeld));
   GateActions accepted = FromUpstream(Acceptance());
-  BOOST_TEST((Only<AnswerBalancer>(accepted).at(0).answer.holding ==
-              Holding::kHeld));
+  BOOST_TEST(
+      (Only<AnswerBalancer>(accepted).at(0).answer.holding == Holding::kHeld));
   BOOST_TEST(Only<ToCaller>(accepted).size() == 1U);
   BOOST_TEST((Ask() == Holding::kHeld));
   BOOST_TEST(Only<ToUpstream>(Forward(Data(101, 500))).size() == 1U);
@@ -302,8 +302,12 @@
   static constexpr uint16_t kBusyFlows = 3;  // the connection limit
 
   FullUpstream() {
-    Hear({.id = "i", .service = "desk", .started = Millis(1000), .sequence = 1,
-          .state = UpstreamState::kReady, .slots = 1});
+    Hear({.id = "i",
+          .service = "desk",
+          .started = Millis(1000),
+          .sequence = 1,
+          .state = UpstreamState::kReady,
+          .slots = 1});
     for (uint16_t port = 1; port <= kBusyFlows; ++port) {
       Forward(At(Opening(), port));
       FromUpstream(Reply(Acceptance(), port));
--- a/filberthollow/flow/packet.h
+++ b/filberthollow/flow/packet.h
@@ -43,8 +43,8 @@
 struct PacketHead {
   base::Address source;
   base::Address destination;
-  uint32_t sequence = 0;     // of the first byte of data
-  uint32_t acknowledged = 0; // of the other end; copy number of an opening one
+  uint32_t sequence = 0;      // of the first byte of data
+  uint32_t acknowledged = 0;  // of the other end; copy number of an opening one
   uint16_t data_bytes = 0;
   bool opens = false;         // asks for a flow, or accepts it if it
   bool acknowledges = false;  // also acknowledges
--- a/filberthollow/operator/commands.cc
+++ b/filberthollow/operator/commands.cc
@@ -348,7 +348,9 @@
       {"unset", "PATH FIELD", 2, 2, true, "inherit a field again", &RunUnset},
       {"status", "", 0, 0, true, "what every process reports",
        &internal::RunStatus},
-      {"explain", "FLOW", 1, 1, true, "why a flow went where it went",
+      {"explain", "FLOW [-]", 1, 2, true,
+       "why a flow went where it went; with -, from log lines on standard "
+       "input",
        &internal::RunExplain},
   };
   return commands;
--- a/filberthollow/operator/report_commands.cc
+++ b/filberthollow/operator/report_commands.cc
@@ -1,12 +1,14 @@
 // The verbs status and explain, which ask the processes themselves.
 #include <fmt/format.h>
 
+#include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
 
 #include "filberthollow/config/bootstrap.h"
 #include "filberthollow/operator/commands.h"
+#include "filberthollow/operator/flow_story.h"
 
 namespace filberthollow::operator_tool::internal {
 namespace {
@@ -188,7 +190,21 @@
   return fleet->lagging == 0 ? kExitDone : kExitDifferent;
 }
 
+// Tells a flow's story from log lines on standard input.
+int ExplainFromLogs(const CommandContext& context) {
+  FlowStory story = ReadStory(std::cin, context.arguments[0]);
+  fmt::print("{}", context.json ? StoryJson(story) + "\n" : StoryText(story));
+  if (story.unreadable > 0) {
+    fmt::print(stderr, "filberthollow: {} lines could not be read\n",
+               story.unreadable);
+  }
+  return story.lines.empty() ? kExitFailed : kExitDone;
+}
+
 int RunExplain(const CommandContext& context) {
+  if (context.arguments.size() > 1) {
+    return context.arguments[1] == "-" ? ExplainFromLogs(context) : kExitUsage;
+  }
   auto fleet = AskFleet(*context.store);
   if (!fleet) {
     return Fail(fleet.error());
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -46,10 +46,9 @@
       m_balancers(file.peers) {}
 
 void AgentTask::OnStart() {
-  auto outbound = m_sockets.outbound->Watch(loop(), [this](auto bytes,
-                                                           auto from) {
-    OnUpstreamDatagram(bytes, from);
-  });
+  auto outbound = m_sockets.outbound->Watch(
+      loop(),
+      [this](auto bytes, auto from) { OnUpstreamDatagram(bytes, from); });
   auto peers = m_sockets.peers->Watch(
       loop(), [this](auto bytes, auto from) { OnPeerDatagram(bytes, from); });
   for (const auto* result : {&outbound, &peers}) {
@@ -122,8 +121,7 @@
   m.reply_to->Post({m.query, name(), m_metrics.Report(), status.dump()});
 }
 
-void AgentTask::OnUpstreamDatagram(std::string_view bytes,
-                                   base::Address from) {
+void AgentTask::OnUpstreamDatagram(std::string_view bytes, base::Address from) {
   auto head = m_format.Read(bytes);
   if (!head || from.ip != m_upstream.ip) {
     m_metrics.Count(flow::Reason::kMalformed);
@@ -296,9 +294,8 @@
 
 base::Millis AgentTask::ReportInterval() const {
   int64_t bytes = static_cast<int64_t>(m_balancers.size()) * kReportBytes;
-  return std::max(
-      kReportInterval,
-      base::Millis(bytes * kMillisPerSecond / kControlBytesPerSecond));
+  return std::max(kReportInterval, base::Millis(bytes * kMillisPerSecond /
+                                                kControlBytesPerSecond));
 }
 
 void AgentTask::OnReportTimer() {
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -265,8 +265,7 @@
 }
 
 void BalancerTask::CheckLeft() {
-  bool left = m_left_at != base::kNever &&
-              Now() - m_left_at >= kLeaveAtLeast &&
+  bool left = m_left_at != base::kNever && Now() - m_left_at >= kLeaveAtLeast &&
               Now() - m_last_packet >= kLeaveQuiet;
   if (left) {
     kernel::NotifyDrained();
@@ -289,11 +288,10 @@
 }
 
 void BalancerTask::SendHello(base::Address to) {
-  SendToPeer(
-      decision::BalancerHello{.revision = m_router.revision(),
-                              .leaving = m_left_at != base::kNever,
-                              .balancers = m_balancers.Staying(Now())},
-      to);
+  SendToPeer(decision::BalancerHello{.revision = m_router.revision(),
+                                     .leaving = m_left_at != base::kNever,
+                                     .balancers = m_balancers.Staying(Now())},
+             to);
 }
 
 void BalancerTask::SendHellos() {
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -89,7 +89,7 @@
   BalancerSockets m_sockets;
   decision::FlowRouter m_router;
   decision::RouterActions m_actions;
-  decision::BalancerSet m_balancers;  // the others
+  decision::BalancerSet m_balancers;                // the others
   std::map<base::Address, base::Millis> m_greeted;  // agents
   base::Millis m_next_tick{base::kNever};
   net::Loop::TimerId m_tick_timer{};
--- a/filberthollow/passthrough/control_task.cc
+++ b/filberthollow/passthrough/control_task.cc
@@ -31,7 +31,8 @@
   try {
     for (const json& item : json::parse(text)) {
       platform::StoredObject object{item.at("name").get<std::string>(),
-                                    item.at("version").get<uint64_t>(), {}};
+                                    item.at("version").get<uint64_t>(),
+                                    {}};
       if (!item.at("value").is_null()) {
         object.value = item.at("value").get<std::string>();
       }
--- a/filberthollow/passthrough/node_file.h
+++ b/filberthollow/passthrough/node_file.h
@@ -29,9 +29,9 @@
   base::Address callers;  // UDP, packets of callers
 
   // An agent's.
-  uint16_t caller_port = 0;   // where packets to a caller are sent
-  base::Address outbound;     // UDP, packets of its upstream
-  base::Address upstream;     // packets to its upstream, and its health check
+  uint16_t caller_port = 0;     // where packets to a caller are sent
+  base::Address outbound;       // UDP, packets of its upstream
+  base::Address upstream;       // packets to its upstream, and its health check
   base::Address announcements;  // HTTP, heartbeats of its upstream
   std::string service;
 
--- a/filberthollow/passthrough/node_process.cc
+++ b/filberthollow/passthrough/node_process.cc
@@ -23,35 +23,34 @@
 
 config::ConfigListeners Listeners(kernel::Registry& registry,
                                   std::string service) {
-  return {
-      .on_keys = [](const flow::KeyRing& /*keys*/) {},
-      .on_tree =
-          [&registry, service](const config::TreePtr& tree) {
-            registry.Post(
-                kPacketsService,
-                PacketsMessage(RoutesChanged{
-                    std::make_shared<const decision::RouteTable>(
-                        tree->revision, tree->tree, tree->routes)}));
-            auto health = tree->health_paths.find(service);
-            if (health != tree->health_paths.end()) {
-              registry.Post(kControlService,
-                            ControlMessage(HealthPath{health->second}));
-            }
-          },
-      .on_peers =
-          [&registry](const std::vector<base::Address>& balancers) {
-            registry.Post(kPacketsService,
-                          PacketsMessage(PeersFound{balancers}));
-          },
-      .on_objects =
-          [&registry](const std::vector<platform::StoredObject>& objects) {
-            registry.Post(kControlService,
-                          ControlMessage(ObjectsHeld{objects}));
-          },
-      .on_behind =
-          [&registry](base::Address peer) {
-            registry.Post(kControlService, ControlMessage(CatchUp{peer}));
-          }};
+  return {.on_keys = [](const flow::KeyRing& /*keys*/) {},
+          .on_tree =
+              [&registry, service](const config::TreePtr& tree) {
+                registry.Post(
+                    kPacketsService,
+                    PacketsMessage(RoutesChanged{
+                        std::make_shared<const decision::RouteTable>(
+                            tree->revision, tree->tree, tree->routes)}));
+                auto health = tree->health_paths.find(service);
+                if (health != tree->health_paths.end()) {
+                  registry.Post(kControlService,
+                                ControlMessage(HealthPath{health->second}));
+                }
+              },
+          .on_peers =
+              [&registry](const std::vector<base::Address>& balancers) {
+                registry.Post(kPacketsService,
+                              PacketsMessage(PeersFound{balancers}));
+              },
+          .on_objects =
+              [&registry](const std::vector<platform::StoredObject>& objects) {
+                registry.Post(kControlService,
+                              ControlMessage(ObjectsHeld{objects}));
+              },
+          .on_behind =
+              [&registry](base::Address peer) {
+                registry.Post(kControlService, ControlMessage(CatchUp{peer}));
+              }};
 }
 
 // Sleeps until the process is to stop. A reload brings new seeds.
@@ -63,8 +62,7 @@
                 {{"error", file.error().Text()}});
       continue;
     }
-    base::Log(Level::kInfo, "reloaded",
-              {{"seeds", file->seeds.size()}});
+    base::Log(Level::kInfo, "reloaded", {{"seeds", file->seeds.size()}});
     registry.Post(kPacketsService, PacketsMessage(PeersFound{file->seeds}));
   }
 }
@@ -77,8 +75,7 @@
                 const Adapter& adapter,
                 config::FleetConfigOptions options) {
   kernel::Registry& registry = kernel.registry();
-  auto control =
-      std::make_unique<ControlTask>(clock, registry, file, adapter);
+  auto control = std::make_unique<ControlTask>(clock, registry, file, adapter);
   if (auto listening = control->Listen(); !listening) {
     return daemon::FailWith("bind_failed", listening.error(),
                             daemon::kExitNoSocket);
--- a/filberthollow/platform/http_object_store.cc
+++ b/filberthollow/platform/http_object_store.cc
@@ -147,8 +147,8 @@
   net::HttpRequest request{
       .server = m_server,
       .method = create ? "POST" : "PUT",
-      .path = create ? KindPath(name)
-                     : KindPath(name) + "/" + PlatformName(name),
+      .path =
+          create ? KindPath(name) : KindPath(name) + "/" + PlatformName(name),
       .headers = {{"content-type:", "application/json"}},
       .body = BodyFor(name, if_version, value),
       .timeout = kCallTimeout};
@@ -223,8 +223,8 @@
       return;
     }
     std::string next;
-    auto read = ReadBody<base::Done>(
-        result, step, m_server, [&](const json& body) {
+    auto read =
+        ReadBody<base::Done>(result, step, m_server, [&](const json& body) {
           // Changes made while later pages are read come with the next watch.
           uint64_t at = body.at("at").get<uint64_t>();
           uint64_t& revision = listing->answer.revision;
--- a/filberthollow/platform/node_settings.cc
+++ b/filberthollow/platform/node_settings.cc
@@ -83,10 +83,10 @@
             const std::string& found,
             const std::string& expected) {
     if (m_error.step.empty()) {
-      m_error = base::MakeError(
-          std::errc::invalid_argument, "read settings",
-          m_source + ": " + std::string(name),
-          "found \"" + found + "\", expected " + expected);
+      m_error =
+          base::MakeError(std::errc::invalid_argument, "read settings",
+                          m_source + ": " + std::string(name),
+                          "found \"" + found + "\", expected " + expected);
     }
   }
 
--- a/filberthollow/platform/operator_config.cc
+++ b/filberthollow/platform/operator_config.cc
@@ -19,8 +19,8 @@
 // Keeps a number of the operator's within the range that the tree allows.
 uint32_t InRange(std::string_view field_name, int64_t value) {
   const settings::Field* field = settings::FindField(field_name);
-  return static_cast<uint32_t>(std::clamp<int64_t>(value, field->min,
-                                                   field->max));
+  return static_cast<uint32_t>(
+      std::clamp<int64_t>(value, field->min, field->max));
 }
 
 // A route's prefix is the port that callers send to, between slashes.
@@ -47,8 +47,7 @@
 
 base::Result<settings::Snapshot> Translate(const json& config) {
   settings::Snapshot snapshot;
-  if (config.contains("limits") &&
-      config["limits"].contains("idleTimeoutMs")) {
+  if (config.contains("limits") && config["limits"].contains("idleTimeoutMs")) {
     // Rounded up: a flow is kept a little longer rather than cut too early.
     int64_t idle_ms = config["limits"]["idleTimeoutMs"].get<int64_t>();
     snapshot.tree.root.idle_flow_s = InRange(
@@ -91,9 +90,9 @@
     }
     auto snapshot = ParseOperatorConfig(*object.value);
     if (!snapshot) {
-      base::Log(base::Level::kError, "operator_config_refused",
-                {{"revision", object.version},
-                 {"error", snapshot.error().Text()}});
+      base::Log(
+          base::Level::kError, "operator_config_refused",
+          {{"revision", object.version}, {"error", snapshot.error().Text()}});
       continue;
     }
     out.objects.push_back({.name = kSnapshotObject,
--- a/filberthollow/platform/platform_test.cc
+++ b/filberthollow/platform/platform_test.cc
@@ -11,8 +11,8 @@
 std::string FromHex(std::string_view hex) {
   std::string bytes;
   for (size_t i = 0; i + 1 < hex.size(); i += 3) {
-    bytes += static_cast<char>(std::stoi(std::string(hex.substr(i, 2)), nullptr,
-                                         16));
+    bytes += static_cast<char>(
+        std::stoi(std::string(hex.substr(i, 2)), nullptr, 16));
   }
   return bytes;
 }
@@ -67,13 +67,12 @@
 }
 
 BOOST_AUTO_TEST_CASE(WhatCanNotBeReadNamesNoUpstream) {
-  for (const char* body :
-       {"", "nonsense", "[]", "{}",
-        R"({"service":"desk","slots":"four","state":"ready",
+  for (const char* body : {"", "nonsense", "[]", "{}",
+                           R"({"service":"desk","slots":"four","state":"ready",
             "coldRemainingMs":0,"sequence":3,"born":1})",
-        R"({"service":"desk","slots":4,"state":"asleep",
+                           R"({"service":"desk","slots":4,"state":"asleep",
             "coldRemainingMs":0,"sequence":3,"born":1})",
-        R"({"service":"desk","slots":4,"state":"ready",
+                           R"({"service":"desk","slots":4,"state":"ready",
             "coldRemainingMs":0,"sequence":3,"born":"1"})"}) {
     BOOST_TEST(!ReadAnnouncement(BeatCall(body)).has_value());
   }
@@ -108,13 +107,14 @@
                               .priority = 2,
                               .latency_goal_ms = 200,
                               .shares = {{"a", 90}, {"b", 10}}}));
-  BOOST_TEST((snapshot->routes[1] == settings::Route{
-                                          .name = "r2",
-                                          .address = {0xc6120002, 443},
-                                          .shares = {{"b", 1}}}));
+  BOOST_TEST(
+      (snapshot->routes[1] == settings::Route{.name = "r2",
+                                              .address = {0xc6120002, 443},
+                                              .shares = {{"b", 1}}}));
   BOOST_TEST(*snapshot->tree.root.idle_flow_s == 15U);
   BOOST_TEST(*snapshot->tree.services.at("a").overrides.connections == 2000U);
-  BOOST_TEST(*snapshot->tree.services.at("b").overrides.connections == 100'000U);
+  BOOST_TEST(*snapshot->tree.services.at("b").overrides.connections ==
+             100'000U);
   BOOST_TEST(snapshot->health_paths.at("a") == "/health");
   auto again = settings::ParseSnapshot(settings::SnapshotText(*snapshot), "x");
   BOOST_REQUIRE(static_cast<bool>(again));
--- a/filberthollow/programs/filberthollow_passthrough.cc
+++ b/filberthollow/programs/filberthollow_passthrough.cc
@@ -46,8 +46,7 @@
   filberthollow::kernel::BlockSignals();
   auto file = platform::ReadNodeSettings();
   if (!file) {
-    fmt::print(stderr, "filberthollow-passthrough: {}\n",
-               file.error().Text());
+    fmt::print(stderr, "filberthollow-passthrough: {}\n", file.error().Text());
     return daemon::kExitBadFile;
   }
   daemon::StartLog(file->name);
--- a/filberthollow/settings/routes.cc
+++ b/filberthollow/settings/routes.cc
@@ -55,12 +55,11 @@
 
 base::Result<Route> ReadRoute(const json& value, std::string path) {
   ObjectReader reader(value, path);
-  Route route{
-      .name = reader.Text("name"),
-      .address = reader.AddressOf("address"),
-      .priority = reader.Number("priority", 0, kMaxPriority, 0),
-      .latency_goal_ms = reader.Number("latency_goal_ms", 1, kMaxGoalMs,
-                                       kDefaultLatencyGoalMs)};
+  Route route{.name = reader.Text("name"),
+              .address = reader.AddressOf("address"),
+              .priority = reader.Number("priority", 0, kMaxPriority, 0),
+              .latency_goal_ms = reader.Number("latency_goal_ms", 1, kMaxGoalMs,
+                                               kDefaultLatencyGoalMs)};
   const json* idempotent = reader.Raw("idempotent");
   const json* shares = reader.Raw("shares");
   if (idempotent == nullptr || !idempotent->is_boolean()) {
--- a/filberthollow/testing/packet_fixtures.h
+++ b/filberthollow/testing/packet_fixtures.h
@@ -34,10 +34,10 @@
 // The same head as the upstream hands it back.
 flow::PacketHead Bounced(flow::PacketHead head);
 
-decision::UpstreamBeat Beat(uint64_t sequence,
-                            decision::UpstreamState state =
-                                decision::UpstreamState::kReady,
-                            int64_t started = 1000);
+decision::UpstreamBeat Beat(
+    uint64_t sequence,
+    decision::UpstreamState state = decision::UpstreamState::kReady,
+    int64_t started = 1000);
 
 // Returns the actions of one type.
 template <class T, class Actions>
