--- a/filberthollow/config/config.cc
+++ b/filberthollow/config/config.cc
@@ -144,8 +144,7 @@
     return base::Done{};
   }
   if (object.name == platform::kSnapshotObject) {
-    auto parsed =
-        settings::ParseSnapshot(object.value.value_or("{}"), object.name);
+    auto parsed = m_read_snapshot(object.value.value_or("{}"), object.name);
     if (!parsed) {
       return parsed.error();
     }
--- a/filberthollow/config/config.h
+++ b/filberthollow/config/config.h
@@ -56,9 +56,18 @@
   friend bool operator==(const ConfigChange&, const ConfigChange&) = default;
 };
 
+// SnapshotReader reads the text of platform::kSnapshotObject; `source` names it
+// in errors.
+using SnapshotReader =
+    base::Result<settings::Snapshot> (*)(std::string_view text,
+                                         std::string_view source);
+
 // ConfigState belongs to one task.
 class ConfigState {
  public:
+  explicit ConfigState(SnapshotReader read_snapshot = &settings::ParseSnapshot)
+      : m_read_snapshot(read_snapshot) {}
+
   // Apply takes every object that changed up to some point. The revision in
   // force becomes the highest version among the objects of the tree.
   ConfigChange Apply(const std::vector<platform::StoredObject>& objects);
@@ -83,6 +92,7 @@
                                     settings::Snapshot& snapshot,
                                     ConfigChange& change);
 
+  const SnapshotReader m_read_snapshot;
   TreePtr m_tree = std::make_shared<const TreeVersion>();
   flow::KeyRing m_keys;
   std::map<std::string, platform::StoredObject> m_objects;
--- a/filberthollow/config/fleet_config_task.cc
+++ b/filberthollow/config/fleet_config_task.cc
@@ -20,7 +20,8 @@
       m_store(m_options.store(m_client)),
       m_listeners(std::move(listeners)),
       m_watch_backoff(kFirstRetry, kLongestRetry, m_options.seed),
-      m_register_backoff(kFirstRetry, kLongestRetry, m_options.seed + 1) {}
+      m_register_backoff(kFirstRetry, kLongestRetry, m_options.seed + 1),
+      m_state(m_options.read_snapshot) {}
 
 void FleetConfigTask::OnStart() {
   if (m_options.watches) {
--- a/filberthollow/config/fleet_config_task.h
+++ b/filberthollow/config/fleet_config_task.h
@@ -45,6 +45,7 @@
   bool watches = true;
   // How long a peer may be ahead before it is asked.
   base::Millis behind_patience{1500};
+  SnapshotReader read_snapshot = &settings::ParseSnapshot;
   uint64_t seed = 0;  // spreads the retries
 };
 
--- a/filberthollow/passthrough/adapter.h
+++ b/filberthollow/passthrough/adapter.h
@@ -27,6 +27,8 @@
   // Reads the process's settings again, after they have changed.
   base::Result<NodeFile> (*read_settings)() = nullptr;
   config::StoreFactory store;
+  // Reads the snapshot object of that store.
+  config::SnapshotReader read_snapshot = nullptr;
 };
 
 }  // namespace filberthollow::passthrough
--- a/filberthollow/passthrough/node_process.cc
+++ b/filberthollow/passthrough/node_process.cc
@@ -22,7 +22,7 @@
 constexpr base::Millis kBalancerBehindPatience{300};
 
 config::ConfigListeners Listeners(kernel::Registry& registry,
-                                  std::string service) {
+                                  const std::string& service) {
   return {.on_keys = [](const flow::KeyRing& /*keys*/) {},
           .on_tree =
               [&registry, service](const config::TreePtr& tree) {
@@ -137,6 +137,7 @@
                      {.store = adapter.store,
                       .entry = entry,
                       .behind_patience = kBalancerBehindPatience,
+                      .read_snapshot = adapter.read_snapshot,
                       .seed = std::random_device{}()});
 }
 
@@ -158,6 +159,7 @@
                      {.store = adapter.store,
                       .watches = false,
                       .behind_patience = base::Millis(0),
+                      .read_snapshot = adapter.read_snapshot,
                       .seed = std::random_device{}()});
 }
 
--- a/filberthollow/platform/adapter.cc
+++ b/filberthollow/platform/adapter.cc
@@ -13,9 +13,11 @@
           .read_beat = &ReadAnnouncement,
           .is_readiness_check = &IsReadinessCheck,
           .read_settings = &ReadNodeSettings,
-          .store = [server = file.platform](net::HttpClient& client) {
-            return std::make_unique<OperatorConfigStore>(client, server);
-          }};
+          .store =
+              [server = file.platform](net::HttpClient& client) {
+                return std::make_unique<OperatorConfigStore>(client, server);
+              },
+          .read_snapshot = &ParseOperatorConfig};
 }
 
 }  // namespace filberthollow::platform
--- a/filberthollow/platform/operator_config.cc
+++ b/filberthollow/platform/operator_config.cc
@@ -6,7 +6,6 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "filberthollow/base/log.h"
 #include "filberthollow/settings/fields.h"
 
 namespace filberthollow::platform {
@@ -81,35 +80,27 @@
   return snapshot;
 }
 
-// Replaces the operator's objects by the snapshot that they stand for.
+// Renames the operator's object to the snapshot that its text stands for.
 WatchAnswer AsSnapshot(const WatchAnswer& answer) {
   WatchAnswer out{.revision = answer.revision};
   for (const StoredObject& object : answer.objects) {
-    if (object.name != kOperatorConfig || !object.value) {
-      continue;
+    if (object.name == kOperatorConfig && object.value) {
+      out.objects.push_back(object);
+      out.objects.back().name = kSnapshotObject;
     }
-    auto snapshot = ParseOperatorConfig(*object.value);
-    if (!snapshot) {
-      base::Log(
-          base::Level::kError, "operator_config_refused",
-          {{"revision", object.version}, {"error", snapshot.error().Text()}});
-      continue;
-    }
-    out.objects.push_back({.name = kSnapshotObject,
-                           .version = object.version,
-                           .value = settings::SnapshotText(*snapshot)});
   }
   return out;
 }
 
 }  // namespace
 
-base::Result<settings::Snapshot> ParseOperatorConfig(std::string_view text) {
+base::Result<settings::Snapshot> ParseOperatorConfig(std::string_view text,
+                                                     std::string_view source) {
   try {
     return Translate(json::parse(text));
   } catch (const json::exception& error) {
     return base::MakeError(std::errc::invalid_argument, "read configuration",
-                           kOperatorConfig, error.what());
+                           std::string(source), error.what());
   }
 }
 
--- a/filberthollow/platform/operator_config.h
+++ b/filberthollow/platform/operator_config.h
@@ -1,9 +1,9 @@
 // The operator's configuration on the platform, as a snapshot of the product's
 // tree and routes.
 //
-// OperatorConfigStore is an object store in which the product finds that
-// snapshot under platform::kSnapshotObject. All other objects are the product's
-// own and pass through.
+// OperatorConfigStore is an object store in which the product finds the
+// operator's text under platform::kSnapshotObject; ParseOperatorConfig() reads
+// that text. All other objects are the product's own and pass through.
 //
 //   OperatorConfigStore store(client, address);
 //   store.Watch({kConfigPrefix, revision, wait}, [](const auto& answer) {...});
@@ -22,7 +22,8 @@
 // ParseOperatorConfig translates the operator's JSON text. Routes or services
 // that can't be read make the whole text an error: half a configuration would
 // refuse callers whose routes are there.
-base::Result<settings::Snapshot> ParseOperatorConfig(std::string_view text);
+base::Result<settings::Snapshot> ParseOperatorConfig(std::string_view text,
+                                                     std::string_view source);
 
 class OperatorConfigStore final : public ObjectStore {
  public:
--- a/filberthollow/platform/platform_test.cc
+++ b/filberthollow/platform/platform_test.cc
@@ -97,7 +97,8 @@
           "services":[{"name":"a","healthPath":"/health",
                        "connectionLimit":2000},
                       {"name":"b","connectionLimit":999999999}],
-          "limits":{"idleTimeoutMs":14500}})");
+          "limits":{"idleTimeoutMs":14500}})",
+      "x");
   BOOST_REQUIRE(static_cast<bool>(snapshot));
   BOOST_REQUIRE(snapshot->routes.size() == 2U);
   BOOST_TEST((snapshot->routes[0] ==
@@ -122,10 +123,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(ABrokenConfigurationIsRefusedWhole) {
-  BOOST_TEST(!ParseOperatorConfig("{}"));
+  BOOST_TEST(!ParseOperatorConfig("{}", "x"));
   BOOST_TEST(!ParseOperatorConfig(
       R"({"routes":[{"name":"r","host":"x","pathPrefix":"/1/",
-                     "service":"a"}],"services":[]})"));
+                     "service":"a"}],"services":[]})",
+      "x"));
 }
 
 constexpr const char* kAgentSettings =
--- a/filberthollow/settings/routes.cc
+++ b/filberthollow/settings/routes.cc
@@ -23,8 +23,8 @@
       fmt::format("found {}, expected a list", found.type_name()));
 }
 
-base::Result<RouteShare> ReadShare(const json& value, std::string path) {
-  ObjectReader reader(value, std::move(path));
+base::Result<RouteShare> ReadShare(const json& value, const std::string& path) {
+  ObjectReader reader(value, path);
   RouteShare share{reader.Text("service"),
                    reader.Number("weight", 0, kMaxWeight, 1)};
   if (auto error = reader.Finish()) {
@@ -35,10 +35,10 @@
 
 // Reads each member of a list with `read`.
 template <class T>
-base::Result<std::vector<T>> ReadList(const json& list,
-                                      const std::string& path,
-                                      base::Result<T> (*read)(const json&,
-                                                              std::string)) {
+base::Result<std::vector<T>> ReadList(
+    const json& list,
+    const std::string& path,
+    base::Result<T> (*read)(const json&, const std::string&)) {
   if (!list.is_array()) {
     return NotAList(path, list);
   }
@@ -53,7 +53,7 @@
   return values;
 }
 
-base::Result<Route> ReadRoute(const json& value, std::string path) {
+base::Result<Route> ReadRoute(const json& value, const std::string& path) {
   ObjectReader reader(value, path);
   Route route{.name = reader.Text("name"),
               .address = reader.AddressOf("address"),
@@ -103,7 +103,7 @@
   }
   json routes = json::array();
   if (parsed->is_object() && parsed->contains("routes")) {
-    routes = (*parsed)["routes"];
+    routes = std::move((*parsed)["routes"]);
     parsed->erase("routes");
   }
   std::map<std::string, std::string> health_paths;
@@ -118,7 +118,7 @@
     }
     parsed->erase("health_paths");
   }
-  auto tree = ParseTree(parsed->dump(), source);
+  auto tree = TreeFromJson(*parsed, source);
   if (!tree) {
     return tree.error();
   }
--- a/filberthollow/settings/tree_json.cc
+++ b/filberthollow/settings/tree_json.cc
@@ -169,8 +169,12 @@
   if (!parsed) {
     return parsed.error();
   }
+  return TreeFromJson(*parsed, source);
+}
+
+base::Result<Tree> TreeFromJson(const json& parsed, std::string_view source) {
   Tree tree;
-  ObjectReader reader(*parsed, std::string(source));
+  ObjectReader reader(parsed, std::string(source));
   if (auto error = ReadNode(reader, tree.root)) {
     return *error;
   }
--- a/filberthollow/settings/tree_json.h
+++ b/filberthollow/settings/tree_json.h
@@ -21,6 +21,9 @@
 
 // ParseTree reads a tree file; `source` names it in errors.
 base::Result<Tree> ParseTree(std::string_view text, std::string_view source);
+// TreeFromJson reads the same from parsed text.
+base::Result<Tree> TreeFromJson(const nlohmann::json& parsed,
+                                std::string_view source);
 // ParseRoot and ParseService read the objects kept at the platform.
 base::Result<Overrides> ParseRoot(const nlohmann::json& json, std::string path);
 base::Result<ServiceNode> ParseService(const nlohmann::json& json,
