Forget agents that have ended; a leaving agent says what it knows

Change: a leaving agent without an upstream reports it gone; balancers forget agents that are gone once they are silent.

--- a/filberthollow/decision/flow_router.cc
+++ b/filberthollow/decision/flow_router.cc
@@ -369,6 +369,11 @@
 }
 
 void FlowRouter::NoteSilence(base::Millis now, RouterActions& actions) {
+  // An agent whose upstream has ended falls silent as planned.
+  std::erase_if(m_agents, [&](const auto& entry) {
+    return entry.second.report.state == UpstreamState::kGone &&
+           IsSilent(entry.second, now);
+  });
   for (auto& [address, agent] : m_agents) {
     bool silent = IsSilent(agent, now);
     if (silent != agent.silent) {
--- a/filberthollow/decision/flow_router_test.cc
+++ b/filberthollow/decision/flow_router_test.cc
@@ -245,6 +245,29 @@
   BOOST_TEST(Only<ResetCaller>(FromCaller(data)).size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(AnAgentWhoseUpstreamHasEndedIsForgotten, Fixture) {
+  Settle({kFirst, kSecond});
+  router.OnReport({.service = testing::kDesk,
+                   .state = UpstreamState::kGone,
+                   .interval = Millis(200)},
+                  kSecond, now);
+  RouterActions seen = Pass(FlowRouter::kMinSilence + kStep, {kFirst});
+  BOOST_TEST(Only<AgentSilence>(seen).empty());
+  BOOST_TEST(Only<SendLocate>(FromCaller(Data(101, 500))).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ASilentAgentIsNoted, Fixture) {
+  Settle({kFirst, kSecond});
+  auto lost =
+      Only<AgentSilence>(Pass(FlowRouter::kMinSilence + kStep, {kFirst}));
+  BOOST_REQUIRE(lost.size() == 1U);
+  BOOST_TEST((lost[0].agent == kSecond));
+  BOOST_TEST(lost[0].silent);
+  auto regained = Only<AgentSilence>(Pass(kStep, {kFirst, kSecond}));
+  BOOST_REQUIRE(regained.size() == 1U);
+  BOOST_TEST(!regained[0].silent);
+}
+
 // A balancer that is cut off is to be taken out of rotation soon: until then
 // packets to it are lost.
 BOOST_FIXTURE_TEST_CASE(ABalancerThatHearsOfNobodyIsNotReady, Fixture) {
--- a/filberthollow/decision/upstream_gate.cc
+++ b/filberthollow/decision/upstream_gate.cc
@@ -130,7 +130,7 @@
   if (m_state == UpstreamState::kUnknown) {
     return Reason::kNotReady;
   }
-  if (m_state != UpstreamState::kReady) {
+  if (m_state != UpstreamState::kReady || m_leaving) {
     return Reason::kDraining;
   }
   if (m_silent) {
@@ -576,11 +576,22 @@
           .cold_ms = Narrow((m_cold_until - now).count())};
 }
 
+UpstreamState UpstreamGate::ReportedState(base::Millis now) const {
+  bool absent =
+      m_state == UpstreamState::kUnknown && now - m_started > kUnheardUpstream;
+  if (m_leaving && absent) {
+    return UpstreamState::kGone;
+  }
+  return m_leaving && m_state == UpstreamState::kReady
+             ? UpstreamState::kDraining
+             : m_state;
+}
+
 UpstreamReport UpstreamGate::Report(base::Millis now) const {
   return {.service = m_options.service,
           .data_centre = m_options.data_centre,
           .run = RunName(m_id, m_run_started),
-          .state = m_state,
+          .state = ReportedState(now),
           .silent = m_silent,
           .load = LoadNow(now),
           .revision = m_routes->revision()};
--- a/filberthollow/decision/upstream_gate.h
+++ b/filberthollow/decision/upstream_gate.h
@@ -141,6 +141,9 @@
   // kGoneLinger is how long an upstream may take to end after its last word;
   // until then its own packets may still be on their way.
   static constexpr base::Millis kGoneLinger{500};
+  // kUnheardUpstream: an upstream that was not heard of for so long after the
+  // agent's start is not there; heartbeats come every second or so.
+  static constexpr base::Millis kUnheardUpstream{3000};
   // kMaxTickGap: after a longer gap between ticks this process was paused, and
   // what it did not hear meanwhile proves nothing.
   static constexpr base::Millis kMaxTickGap{350};
@@ -163,6 +166,9 @@
     m_routes = std::move(routes);
   }
   uint64_t revision() const { return m_routes->revision(); }
+  // Leave announces that this agent stops: new flows would be cut, so none are
+  // taken, while those that are open go on.
+  void Leave() { m_leaving = true; }
 
   // OnForward takes a caller's packet from a balancer.
   void OnForward(const Forward& forward,
@@ -283,6 +289,8 @@
   void DropOldFlows(base::Millis now);
   Flows::iterator Erase(Flows::iterator flow, base::Millis now);
   UpstreamLoad LoadNow(base::Millis now) const;
+  // Returns the upstream's state as balancers are to act on it.
+  UpstreamState ReportedState(base::Millis now) const;
 
   const GateOptions m_options;
   const base::Millis m_started;
@@ -318,6 +326,7 @@
   base::Millis m_rate_at;
   base::Millis m_next_sweep{0};
   bool m_offers_pending = false;
+  bool m_leaving = false;
 };
 
 }  // namespace filberthollow::decision
--- a/filberthollow/decision/upstream_gate_test.cc
+++ b/filberthollow/decision/upstream_gate_test.cc
@@ -270,6 +270,24 @@
       Only<ResetCaller>(Pass(UpstreamGate::kGoneLinger + kStep)).size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(ALeavingAgentTakesNoNewFlows, Fixture) {
+  OpenFlow();
+  gate.Leave();
+  BOOST_TEST((gate.Report(now).state == UpstreamState::kDraining));
+  flow::PacketHead other = Opening();
+  other.source.port = 1;
+  BOOST_TEST((RefusalOf(Forward(other)) == Reason::kDraining));
+  BOOST_TEST(Only<ToUpstream>(Forward(Data(101, 500))).size() == 1U);
+}
+
+// Searches for flows would wait for its answer after it has ended.
+BOOST_FIXTURE_TEST_CASE(ALeavingAgentWithoutAnUpstreamHoldsNothing, Fixture) {
+  gate.Leave();
+  BOOST_TEST((gate.Report(now).state == UpstreamState::kUnknown));
+  now = now + UpstreamGate::kUnheardUpstream + Millis(1);
+  BOOST_TEST((gate.Report(now).state == UpstreamState::kGone));
+}
+
 BOOST_FIXTURE_TEST_CASE(ClosedAndIdleFlowsAreDropped, Fixture) {
   OpenFlow();
   Forward(testing::Finish(101));
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -108,6 +108,7 @@
 
 void AgentTask::Handle(const LeaveFleet& /*m*/) {
   m_left_at = Now();
+  m_gate.Leave();
   m_last_packet = Now();
   ReportToLively();
 }
@@ -316,9 +317,6 @@
 void AgentTask::SendReports(const std::vector<base::Address>& balancers) {
   decision::UpstreamReport report = m_gate.Report(Now());
   report.interval = ReportInterval();
-  if (m_left_at != base::kNever && report.state == UpstreamState::kReady) {
-    report.state = UpstreamState::kDraining;  // new flows would be cut
-  }
   for (base::Address balancer : balancers) {
     SendToPeer(report, balancer);
   }
