Spare an upstream that hands back new flows; search a route's services first

Change: no offers for 0.5 s or until a heartbeat, with a reason of its own; a search asks the agents of the route's services before all others, since 5,300 questions for a flow would not do at the size designed for. Capacity rows from measured slopes.

--- a/filberthollow/decision/flow_router.cc
+++ b/filberthollow/decision/flow_router.cc
@@ -203,9 +203,16 @@
   Search& search = m_searches[ends];
   if (begins) {
     search.started_at = now;
-    for (const auto& [address, agent] : m_agents) {
-      search.asked[address] = std::nullopt;
-      actions.emplace_back(SendLocate{address, {ends, head.acknowledged}});
+    search.acknowledged = head.acknowledged;
+    const CompiledRoute* route = m_routes->Find(ends.route);
+    Ask(
+        ends, search,
+        [route](const Agent& agent) {
+          return route == nullptr || route->Allows(agent.report.service);
+        },
+        now, actions);
+    if (search.asked.empty()) {
+      Widen(ends, search, now, actions);
     }
   }
   search.acknowledged = head.acknowledged;
@@ -215,6 +222,34 @@
   }
 }
 
+template <class Wanted>
+void FlowRouter::Ask(const FlowEnds& ends,
+                     Search& search,
+                     Wanted wanted,
+                     base::Millis now,
+                     RouterActions& actions) {
+  search.asked_at = now;
+  search.repeated = false;
+  for (const auto& [address, agent] : m_agents) {
+    if (wanted(agent) && search.asked.try_emplace(address).second) {
+      actions.emplace_back(SendLocate{address, {ends, search.acknowledged}});
+    }
+  }
+}
+
+bool FlowRouter::Widen(const FlowEnds& ends,
+                       Search& search,
+                       base::Millis now,
+                       RouterActions& actions) {
+  if (search.widened || search.asked.size() >= m_agents.size()) {
+    return false;
+  }
+  search.widened = true;
+  Ask(
+      ends, search, [](const Agent& /*agent*/) { return true; }, now, actions);
+  return true;
+}
+
 void FlowRouter::Remember(const FlowEnds& ends,
                           base::Address agent,
                           base::Millis now) {
@@ -292,7 +327,7 @@
   bool complete =
       std::all_of(search.asked.begin(), search.asked.end(),
                   [](const auto& entry) { return entry.second.has_value(); });
-  if (complete) {
+  if (complete && !Widen(answer.flow, search, now, actions)) {
     Conclude(answer.flow, search, now, actions);
     m_searches.erase(found);
   }
@@ -349,8 +384,8 @@
 void FlowRouter::TickSearches(base::Millis now, RouterActions& actions) {
   for (auto found = m_searches.begin(); found != m_searches.end();) {
     Search& search = found->second;
-    base::Millis age = now - search.started_at;
-    if (age >= kSearchEnd) {
+    base::Millis age = now - search.asked_at;
+    if (age >= kSearchEnd && !Widen(found->first, search, now, actions)) {
       Conclude(found->first, search, now, actions);
       found = m_searches.erase(found);
       continue;
--- a/filberthollow/decision/flow_router.h
+++ b/filberthollow/decision/flow_router.h
@@ -3,7 +3,9 @@
 //
 // What the router remembers of flows is a cache: any balancer may get any
 // packet. For a flow that it does not know it asks the agents who holds it, and
-// keeps the packet meanwhile. It resets a flow only if no upstream can hold it.
+// keeps the packet meanwhile: first the agents of the route's services, then,
+// since the route may have had other services, all others. It resets a flow
+// only if no upstream can hold it.
 //
 //   RouterActions actions;
 //   router.OnCallerPacket(bytes, head, now, actions);
@@ -199,7 +201,9 @@
     uint32_t acknowledged = 0;
     bool wants_answer = false;  // a packet carries data
     bool repeated = false;
+    bool widened = false;  // all agents are asked
     base::Millis started_at;
+    base::Millis asked_at;  // the agents that are asked now
     // What each agent that was asked has answered.
     std::map<base::Address, std::optional<Holding>> asked;
   };
@@ -224,6 +228,18 @@
                    const flow::PacketHead& head,
                    base::Millis now,
                    RouterActions& actions);
+  // Asks the agents that were not asked yet and pass `wanted`.
+  template <class Wanted>
+  void Ask(const flow::FlowEnds& ends,
+           Search& search,
+           Wanted wanted,
+           base::Millis now,
+           RouterActions& actions);
+  // Asks all other agents; returns false if there are none.
+  bool Widen(const flow::FlowEnds& ends,
+             Search& search,
+             base::Millis now,
+             RouterActions& actions);
   void OnSearchAnswer(const FlowAnswer& answer,
                       base::Address agent,
                       base::Millis now,
--- a/filberthollow/decision/flow_router_test.cc
+++ b/filberthollow/decision/flow_router_test.cc
@@ -166,6 +166,21 @@
   BOOST_TEST(Only<SendForward>(FromCaller(Data(1101, 10))).size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(ASearchBeginsWithTheServicesOfTheRoute, Fixture) {
+  Settle({kFirst});
+  Report(kSecond, testing::kMaps);
+  auto first = Only<SendLocate>(FromCaller(Data(101, 500)));
+  BOOST_REQUIRE(first.size() == 1U);
+  BOOST_TEST((first[0].agent == kFirst));
+  RouterActions next = Answer(kFirst, Holding::kNotHeld);
+  BOOST_TEST(Only<ResetCaller>(next).empty());
+  auto second = Only<SendLocate>(next);
+  BOOST_REQUIRE(second.size() == 1U);
+  BOOST_TEST((second[0].agent == kSecond));
+  BOOST_TEST(Only<ResetCaller>(Answer(kSecond, Holding::kNotHeld)).size() ==
+             1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(AFlowThatNobodyHoldsIsReset, Fixture) {
   Settle({kFirst, kSecond});
   FromCaller(Data(101, 500));
--- a/filberthollow/decision/packet_messages.h
+++ b/filberthollow/decision/packet_messages.h
@@ -56,7 +56,7 @@
   uint64_t data_centre = 0;  // hash of its name
   uint64_t run = 0;          // names one run of the upstream
   UpstreamState state{};
-  bool silent = false;  // does not answer what it must answer at once
+  bool silent = false;  // does not answer new flows, or refuses them now
   UpstreamLoad load;
   uint64_t revision = 0;  // of the configuration in force at the agent
   base::Millis interval;  // until the next report
--- a/filberthollow/decision/upstream_gate.cc
+++ b/filberthollow/decision/upstream_gate.cc
@@ -126,7 +126,8 @@
 }
 
 std::optional<Reason> UpstreamGate::WhyNotOpen(const Forward& forward,
-                                               const PacketHead& head) const {
+                                               const PacketHead& head,
+                                               base::Millis now) const {
   if (m_state == UpstreamState::kUnknown) {
     return Reason::kNotReady;
   }
@@ -136,6 +137,9 @@
   if (m_silent) {
     return Reason::kUpstreamSilent;
   }
+  if (now < m_refusing_until) {
+    return Reason::kUpstreamRefused;
+  }
   // A balancer with a newer configuration knows better.
   bool judge =
       m_routes->revision() > 0 && m_routes->revision() >= forward.revision;
@@ -161,7 +165,7 @@
   auto found = m_flows.find(ends);
   bool known = found != m_flows.end() && found->second.stage != Stage::kClosed;
   if (!known) {
-    if (auto reason = WhyNotOpen(forward, head)) {
+    if (auto reason = WhyNotOpen(forward, head, now)) {
       Answer(balancer, ends, Holding::kRefused, *reason, "", now, actions);
       NoteOffer(ends, reason, base::Millis(0), now, actions);
       return;
@@ -332,9 +336,13 @@
   if (head.AsksToOpen()) {
     if (found != m_flows.end() && !found->second.answered) {
       Answer(found->second.balancer, ends, Holding::kRefused,
-             Reason::kConnectionLimit, "", now, actions);
-      NoteOffer(ends, Reason::kConnectionLimit, now - found->second.offered_at,
+             Reason::kUpstreamRefused, "", now, actions);
+      NoteOffer(ends, Reason::kUpstreamRefused, now - found->second.offered_at,
                 now, actions);
+      if (now >= m_refusing_until) {
+        actions.emplace_back(ReportNow{});
+      }
+      m_refusing_until = now + kRefusingSpan;
       Erase(found, now);
     }
     return;
@@ -408,7 +416,9 @@
     m_run_started = beat.started;
     m_gone_at = base::kNever;
   }
-  bool news = !same_run || m_state != beat.state || m_silent;
+  bool refusing = now < m_refusing_until;
+  bool news = !same_run || m_state != beat.state || m_silent || refusing;
+  m_refusing_until = now;
   m_last_sequence = beat.sequence;
   m_state = beat.state;
   m_slots = std::max(beat.slots, 1U);
@@ -592,7 +602,7 @@
           .data_centre = m_options.data_centre,
           .run = RunName(m_id, m_run_started),
           .state = ReportedState(now),
-          .silent = m_silent,
+          .silent = m_silent || now < m_refusing_until,
           .load = LoadNow(now),
           .revision = m_routes->revision()};
 }
--- a/filberthollow/decision/upstream_gate.h
+++ b/filberthollow/decision/upstream_gate.h
@@ -141,6 +141,10 @@
   // kGoneLinger is how long an upstream may take to end after its last word;
   // until then its own packets may still be on their way.
   static constexpr base::Millis kGoneLinger{500};
+  // kRefusingSpan is how long no new flow is offered after the upstream has
+  // handed one back, unless it gives a sign of life first. A host whose
+  // upstream is down hands back everything, and each try costs a caller time.
+  static constexpr base::Millis kRefusingSpan{500};
   // kUnheardUpstream: an upstream that was not heard of for so long after the
   // agent's start is not there; heartbeats come every second or so.
   static constexpr base::Millis kUnheardUpstream{3000};
@@ -239,7 +243,8 @@
                  GateActions& actions);
   // Returns why a new flow is refused, or nothing.
   std::optional<flow::Reason> WhyNotOpen(const Forward& forward,
-                                         const flow::PacketHead& head) const;
+                                         const flow::PacketHead& head,
+                                         base::Millis now) const;
   void OnBounced(const flow::PacketHead& head,
                  base::Millis now,
                  GateActions& actions);
@@ -313,6 +318,7 @@
   bool m_silent = false;
   bool m_checking = false;  // a health check is under way
   base::Millis m_silent_since{base::kNever};
+  base::Millis m_refusing_until{INT64_MIN / 4};
   base::Millis m_next_check{0};
   bool m_check_failed = false;  // the last health check since it fell silent
   base::Millis m_gone_at{base::kNever};
--- a/filberthollow/flow/reason.cc
+++ b/filberthollow/flow/reason.cc
@@ -64,6 +64,8 @@
     {kNoSuchFlow, kRefused, "no_such_flow", "no upstream holds the flow"},
     {kNoAgent, kRefused, "no_agent",
      "no upstream of the service took the new flow in time"},
+    {kUpstreamRefused, kRefused, "upstream_refused",
+     "the upstream handed back a new flow just now: it is full or down"},
 }};
 
 constexpr std::array<std::string_view, 3> kKindNames{"refused", "dropped",
--- a/filberthollow/flow/reason.h
+++ b/filberthollow/flow/reason.h
@@ -57,6 +57,7 @@
   kFlowLost,
   kNoSuchFlow,
   kNoAgent,
+  kUpstreamRefused,
 };
 
 // ReasonKind says what happened to the work.
@@ -70,7 +71,7 @@
   std::string_view meaning;
 };
 
-inline constexpr size_t kReasonCount = 35;
+inline constexpr size_t kReasonCount = 36;
 
 // ReasonTable lists every reason in the order of the enumeration.
 const std::array<ReasonRow, kReasonCount>& ReasonTable();
--- a/filberthollow/measure/measure_main.cc
+++ b/filberthollow/measure/measure_main.cc
@@ -44,6 +44,13 @@
            measure::RouteTime(targets),
            measure::HeartbeatTime(targets),
            measure::GossipMessageTime(targets),
+           measure::RouterAgentMemory(targets),
+           measure::RouterFlowMemory(flows),
+           measure::GateFlowMemory(flows),
+           measure::RouterPacketTime(flows),
+           measure::RouterOfferTime(targets),
+           measure::GatePacketTime(flows),
+           measure::ReportBytes({1, 1000}),
        }) {
     nlohmann::json points = nlohmann::json::array();
     for (const measure::Point& point : series.points) {
--- /dev/null
+++ b/filberthollow/measure/packet_slopes.cc
@@ -0,0 +1,177 @@
+// Slopes of passed-through flows.
+#include <memory>
+
+#include "filberthollow/decision/flow_router.h"
+#include "filberthollow/decision/upstream_gate.h"
+#include "filberthollow/measure/fixtures.h"
+#include "filberthollow/measure/slopes.h"
+#include "filberthollow/testing/packet_fixtures.h"
+#include "filberthollow/wire/packet_codec.h"
+
+namespace filberthollow::measure {
+
+using internal::HeapPoints;
+using internal::TimeCall;
+
+namespace {
+
+using base::Address;
+using base::Millis;
+
+constexpr Millis kNow{10'000};
+constexpr uint64_t kRevision = 5;
+constexpr uint32_t kTimedPackets = 50'000;
+constexpr size_t kPacketBytes = 932;
+
+Address AgentAddress(uint32_t index) {
+  return {0x0a000000 + index, 7720};
+}
+
+flow::PacketHead HeadOf(flow::PacketHead head, uint32_t caller) {
+  head.source = {0x64400000 + caller, 40'000};
+  return head;
+}
+
+// A router that knows `agents` agents, seven of them of the measured service.
+std::unique_ptr<decision::FlowRouter> MakeRouter(uint32_t agents) {
+  constexpr uint32_t kServiceAgents = 7;
+  auto router = std::make_unique<decision::FlowRouter>(0, kNow);
+  router->SetRoutes(testing::TwoRoutes(kRevision));
+  for (uint32_t i = 0; i < agents; ++i) {
+    base::ServiceId service =
+        i < kServiceAgents ? testing::kDesk : base::ServiceId{i};
+    router->OnReport({.service = service,
+                      .state = decision::UpstreamState::kReady,
+                      .interval = Millis(200)},
+                     AgentAddress(i), kNow);
+  }
+  return router;
+}
+
+void Know(decision::FlowRouter& router, uint32_t flows) {
+  decision::RouterActions actions;
+  for (uint32_t i = 0; i < flows; ++i) {
+    router.OnAnswer({.flow = HeadOf(testing::Opening(), i).FromCaller(),
+                     .holding = decision::Holding::kHeld},
+                    {}, AgentAddress(0), kNow, actions);
+    actions.clear();
+  }
+}
+
+std::unique_ptr<decision::UpstreamGate> MakeGate(uint32_t flows) {
+  auto gate = std::make_unique<decision::UpstreamGate>(
+      decision::GateOptions{.service = testing::kDesk, .first_start = true},
+      kNow);
+  settings::Tree tree;
+  tree.services["desk"].overrides.connections = flows + 1;
+  gate->SetRoutes(std::make_shared<const decision::RouteTable>(
+      kRevision, tree,
+      std::vector<settings::Route>{{.name = "desk",
+                                    .address = testing::kDeskRoute,
+                                    .shares = {{"desk", 1}}}}));
+  decision::GateActions actions;
+  gate->OnBeat(testing::Beat(1), kNow, actions);
+  for (uint32_t i = 0; i < flows; ++i) {
+    gate->OnForward({.revision = kRevision}, HeadOf(testing::Opening(), i),
+                    AgentAddress(0), kNow, actions);
+    flow::PacketHead accepted = testing::Acceptance();
+    accepted.destination = HeadOf(testing::Opening(), i).source;
+    gate->OnUpstreamPacket("", accepted, kNow, actions);
+    actions.clear();
+  }
+  return gate;
+}
+
+}  // namespace
+
+Series RouterAgentMemory(const Sizes& agents) {
+  return {"router_agent_memory", "agents", "bytes",
+          HeapPoints(agents, &MakeRouter)};
+}
+
+Series RouterFlowMemory(const Sizes& flows) {
+  return {"router_flow_memory", "flows", "bytes",
+          HeapPoints(flows, [](uint32_t size) {
+            auto router = MakeRouter(1);
+            Know(*router, size);
+            return router;
+          })};
+}
+
+Series GateFlowMemory(const Sizes& flows) {
+  return {"gate_flow_memory", "flows", "bytes", HeapPoints(flows, &MakeGate)};
+}
+
+Series RouterPacketTime(const Sizes& flows) {
+  Series series{"router_packet_time", "flows", "us", {}};
+  std::string packet(kPacketBytes, 'p');
+  for (uint32_t size : flows) {
+    auto router = MakeRouter(1);
+    Know(*router, size);
+    size_t sum = 0;
+    decision::RouterActions actions;
+    double us = TimeCall(kTimedPackets, [&](uint32_t i) {
+      router->OnCallerPacket(packet, HeadOf(testing::Data(1, 900), i % size),
+                             kNow, actions);
+      sum += wire::EncodePacketMessage(
+                 std::get<decision::SendForward>(actions.front()).message)
+                 .size();
+      actions.clear();
+    });
+    series.points.push_back({static_cast<double>(size), sum == 0 ? 0 : us});
+  }
+  return series;
+}
+
+Series RouterOfferTime(const Sizes& agents) {
+  constexpr uint32_t kTimedOffers = 2000;
+  Series series{"router_offer_time", "agents", "us", {}};
+  for (uint32_t size : agents) {
+    auto router = MakeRouter(size);
+    size_t sum = 0;
+    decision::RouterActions actions;
+    double us = TimeCall(kTimedOffers, [&](uint32_t i) {
+      router->OnCallerPacket("p", HeadOf(testing::Opening(), i), kNow, actions);
+      sum += actions.size();
+      actions.clear();
+    });
+    series.points.push_back({static_cast<double>(size), sum == 0 ? 0 : us});
+  }
+  return series;
+}
+
+Series GatePacketTime(const Sizes& flows) {
+  Series series{"gate_packet_time", "flows", "us", {}};
+  std::string packet(kPacketBytes, 'p');
+  for (uint32_t size : flows) {
+    auto gate = MakeGate(size);
+    std::string datagram = wire::EncodePacketMessage(
+        decision::Forward{.revision = kRevision, .packet = packet});
+    size_t sum = 0;
+    decision::GateActions actions;
+    double us = TimeCall(kTimedPackets, [&](uint32_t i) {
+      auto message = wire::DecodePacketMessage(datagram);
+      gate->OnForward(std::get<decision::Forward>(*message),
+                      HeadOf(testing::Data(101, 0), i % size), AgentAddress(0),
+                      kNow, actions);
+      sum += actions.size();
+      actions.clear();
+    });
+    series.points.push_back({static_cast<double>(size), sum == 0 ? 0 : us});
+  }
+  return series;
+}
+
+Series ReportBytes(const Sizes& loads) {
+  Series series{"report_bytes", "load", "bytes", {}};
+  for (uint32_t size : loads) {
+    decision::UpstreamReport report{
+        .load = {.busy = static_cast<uint16_t>(size)}};
+    series.points.push_back(
+        {static_cast<double>(size),
+         static_cast<double>(wire::EncodePacketMessage(report).size())});
+  }
+  return series;
+}
+
+}  // namespace filberthollow::measure
--- a/filberthollow/measure/slopes.h
+++ b/filberthollow/measure/slopes.h
@@ -76,6 +76,17 @@
 Series HeartbeatTime(const Sizes& targets);
 Series GossipMessageTime(const Sizes& targets);
 
+// Passed-through flows, in packet_slopes.cc: memory of what a balancer knows of
+// agents and flows and of an agent's flows; processor time of a packet, with
+// its encoding, and of a new flow; bytes of an agent's report.
+Series RouterAgentMemory(const Sizes& agents);
+Series RouterFlowMemory(const Sizes& flows);
+Series GateFlowMemory(const Sizes& flows);
+Series RouterPacketTime(const Sizes& flows);
+Series RouterOfferTime(const Sizes& agents);
+Series GatePacketTime(const Sizes& flows);
+Series ReportBytes(const Sizes& loads);
+
 }  // namespace filberthollow::measure
 
 #endif  // FILBERTHOLLOW_MEASURE_SLOPES_H_
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -2,6 +2,7 @@
 
     tools/capacity.py            measure, save docs/capacity-results.json, write
     tools/capacity.py --render   write the page from the saved results
+    tools/capacity.py --series   measure only the series, keep the fleets
 
 The page is made from the results alone, so that it can't drift from them.
 """
@@ -38,6 +39,7 @@
 HEARTBEATS_A_SECOND = 3.0   # Observer::kMaxHeartbeatRate
 DATA_CENTRE = TARGETS // 8
 OUTAGE_SECONDS = 12
+REPORT_WIRE_BYTES = 150     # AgentTask::kReportBytes
 LIMITS = {"control": 3000, "memory": 256e6, "core": 4.6,
           "writes": 400, "reads": 2000, "in_force": 11}
 
@@ -132,13 +134,24 @@
         }
 
 
-def measure():
+def measure_series():
     output = subprocess.run([str(BIN / "filberthollow-measure")],
                             capture_output=True, text=True, check=True,
                             timeout=300)
+    return json.loads(output.stdout)
+
+
+def measure_series_only():
+    """Replaces the series and keeps the fleets that were measured."""
+    results = json.loads(RESULTS.read_text())
+    results["series"] = measure_series()
+    RESULTS.write_text(json.dumps(results, indent=1) + "\n")
+
+
+def measure():
     machine = {"date": time.strftime("%Y-%m-%d"),
                "cores": os.cpu_count(), "kind": "x86_64, shared"}
-    results = {"machine": machine, "series": json.loads(output.stdout),
+    results = {"machine": machine, "series": measure_series(),
                "fleet": [measure_fleet(n) for n in (2, 4, 8)]}
     RESULTS.write_text(json.dumps(results, indent=1) + "\n")
     storm = subprocess.run([str(BIN / "filberthollow-storm")],
@@ -385,11 +398,54 @@
             f"{megabytes(item['agent_rss'])} | "
             f"{item['balancer_us_a_request']} | "
             f"{item['agent_us_a_request']} |")
+    out += packet_rows(at, per)
     return {"ROWS": "\n".join(out), "SERIES": "\n".join(detail),
             "FLEET": "\n".join(real), "MACHINE": json.dumps(
                 results["machine"])}
 
 
+def packet_rows(at, per):
+    """Rows of passed-through flows."""
+    flows = FLOWS / NODES
+    known = per("router_flow_memory")
+    agents = per("router_agent_memory")
+    memory = known * flows + agents * TARGETS
+    gate = per("gate_flow_memory")
+    packets = 20 * NEW_FLOWS / NODES  # of callers, a second, at each balancer
+    route_us = at("router_packet_time", flows)
+    offer_us = at("router_offer_time", TARGETS)
+    core = (packets * route_us + NEW_FLOWS / NODES * offer_us) / 1e4
+    report = at("report_bytes", 1)
+    interval = max(0.2, NODES * REPORT_WIRE_BYTES / LIMITS["control"])
+    heard = TARGETS / interval * REPORT_WIRE_BYTES
+    silence = 3 * interval
+    return [
+        row("balancer, passed through", "memory of agents and flows",
+            "a cache of flows, which may be lost at any time; one record an agent",
+            f"{known:.0f} B a flow, {agents:.0f} B an agent",
+            megabytes(memory), "256 MB", memory <= LIMITS["memory"]),
+        row("balancer, passed through", "processor time of decisions and encoding",
+            "one hash lookup a packet; a scan of the agents for each new flow",
+            f"{route_us:.2f} us a packet, {offer_us:.0f} us a new flow",
+            f"{core:.2f}% of a core at {packets:.0f} packets/s", "4.6%",
+            core <= LIMITS["core"]),
+        row("agent, passed through", "memory of flows",
+            "one record a flow, beside its upstream only",
+            f"{gate:.0f} B a flow", megabytes(gate * FLOWS_PER_AGENT),
+            "256 MB", gate * FLOWS_PER_AGENT <= LIMITS["memory"]),
+        row("agent, passed through", "reports sent",
+            "to every balancer, paced by a budget of bytes",
+            f"{report:.0f} B a report, {REPORT_WIRE_BYTES} B on the wire",
+            f"one in {interval:.0f} s to each balancer", "3,000 B/s", True),
+        row("balancer, passed through", "reports heard",
+            "from every agent", f"{REPORT_WIRE_BYTES} B a report",
+            f"{heard:.0f} B/s", "3,000 B/s", heard <= LIMITS["control"]),
+        row("balancer, passed through", "time until a silent agent is noted",
+            "three reports missed; an unanswered offer shows it in 0.11 s",
+            "3 intervals", f"{silence:.0f} s", "11 s", silence <= 11),
+    ]
+
+
 def placement_table(results):
     series = {s["name"]: dict(map(tuple, s["points"]))
               for s in results["series"]}
@@ -445,6 +501,8 @@
 
 
 if __name__ == "__main__":
-    if "--render" not in sys.argv:
+    if "--series" in sys.argv:
+        measure_series_only()
+    elif "--render" not in sys.argv:
         measure()
     render()
