--- a/filberthollow/decision/flow_router.h
+++ b/filberthollow/decision/flow_router.h
@@ -21,10 +21,10 @@
 #include <variant>
 #include <vector>
 
+#include "filberthollow/decision/gate_actions.h"
 #include "filberthollow/decision/packet_messages.h"
 #include "filberthollow/decision/route_table.h"
 #include "filberthollow/decision/upstream_choice.h"
-#include "filberthollow/decision/upstream_gate.h"
 
 namespace filberthollow::decision {
 
@@ -135,7 +135,7 @@
   // agents. Until then it calls no flow lost, and new flows wait for an agent;
   // after it, their callers still have time to try elsewhere.
   static constexpr base::Millis kCertainAfter{1000};
-  // kMaxTickGap: see UpstreamGate::kMaxTickGap.
+  // kMaxTickGap: after a longer gap between ticks this process was paused.
   static constexpr base::Millis kMaxTickGap{350};
   static constexpr base::Millis kBusyTick{20};
   static constexpr base::Millis kIdleTick{100};
--- a/filberthollow/decision/upstream_gate.cc
+++ b/filberthollow/decision/upstream_gate.cc
@@ -1,7 +1,7 @@
 #include "filberthollow/decision/upstream_gate.h"
 
 #include <algorithm>
-#include <cmath>
+#include <cstdlib>
 #include <utility>
 
 namespace filberthollow::decision {
@@ -18,27 +18,18 @@
   return static_cast<uint16_t>(std::clamp<int64_t>(value, 0, UINT16_MAX));
 }
 
-// Returns how far `a` is after `b` in the circle of sequence numbers.
-int32_t Distance(uint32_t a, uint32_t b) {
-  return static_cast<int32_t>(a - b);
-}
-
-uint64_t RunName(const std::string& id, base::Millis started) {
-  return base::HashBytes(id, static_cast<uint64_t>(started.count()));
-}
-
 }  // namespace
 
 UpstreamGate::UpstreamGate(GateOptions options, base::Millis now)
     : m_options(options),
       m_started(now),
-      m_last_heard(now),
+      m_life(options.service, options.beat_interval, now),
       m_last_tick(now),
-      m_rate_at(now) {}
+      m_meter(now) {}
 
 bool UpstreamGate::KnowsAllFlows(base::Millis now) const {
-  return m_options.first_start || m_saw_whole_run ||
-         now - m_started > m_options.flow_lifetime;
+  return m_options.first_start || m_life.saw_whole_run() ||
+         m_life.IsAbsent(now) || now - m_started > m_options.flow_lifetime;
 }
 
 Holding UpstreamGate::HoldingOf(const FlowEnds& ends,
@@ -54,7 +45,7 @@
   }
   // Two upstreams may have accepted copies of one opening packet; the caller
   // goes on with the one whose sequence numbers it acknowledges.
-  int32_t distance = Distance(acknowledged, flow.upstream_end);
+  int32_t distance = flow::SequenceDistance(acknowledged, flow.upstream_end);
   bool own = std::abs(int64_t{distance}) <= int64_t{kSequenceSlack};
   return own || !flow.upstream_seen ? Holding::kHeld : Holding::kNotHeld;
 }
@@ -82,8 +73,8 @@
   actions.emplace_back(OfferDecided{.flow = ends,
                                     .taken = !refused,
                                     .reason = refused.value_or(Reason{}),
-                                    .state = m_state,
-                                    .heard_ago = now - m_last_heard,
+                                    .state = m_life.state(),
+                                    .heard_ago = m_life.HeardAgo(now),
                                     .took = took,
                                     .load = LoadNow(now)});
 }
@@ -128,16 +119,16 @@
 std::optional<Reason> UpstreamGate::WhyNotOpen(const Forward& forward,
                                                const PacketHead& head,
                                                base::Millis now) const {
-  if (m_state == UpstreamState::kUnknown) {
+  if (m_life.state() == UpstreamState::kUnknown) {
     return Reason::kNotReady;
   }
-  if (m_state != UpstreamState::kReady || m_leaving) {
+  if (m_life.state() != UpstreamState::kReady || m_leaving) {
     return Reason::kDraining;
   }
-  if (m_silent) {
+  if (m_life.silent()) {
     return Reason::kUpstreamSilent;
   }
-  if (now < m_refusing_until) {
+  if (m_life.IsRefusing(now)) {
     return Reason::kUpstreamRefused;
   }
   // A balancer with a newer configuration knows better.
@@ -174,7 +165,7 @@
       Erase(found, now);
     }
     found = m_flows.emplace(ends, Flow{.offered_at = now}).first;
-    m_owed_since = std::min(m_owed_since, now);
+    m_life.Owe(now);
     m_offers_pending = true;
     ++m_open;
   }
@@ -188,65 +179,6 @@
   actions.emplace_back(ToUpstream{forward.packet});
 }
 
-bool UpstreamGate::IsNews(const Flow& flow, const PacketHead& head) {
-  uint32_t end = head.sequence + head.data_bytes;
-  return !flow.caller_seen || Distance(end, flow.caller_end) > 0;
-}
-
-bool UpstreamGate::KeepWaiting(Flow& flow,
-                               const Forward& forward,
-                               const PacketHead& head,
-                               base::Millis now) {
-  if (head.resets) {
-    // The caller has given up.
-    flow.waiting.clear();
-    m_queue.Remove(head.FromCaller());
-    return false;
-  }
-  bool waits = !flow.waiting.empty();
-  bool begins = !waits && !flow.busy && head.data_bytes > 0 &&
-                IsNews(flow, head) && !m_queue.HasRoom(m_busy);
-  bool carries = head.data_bytes > 0 || head.finishes;
-  if (!begins && !(waits && carries)) {
-    return false;
-  }
-  if (begins) {
-    const CompiledRoute* route = m_routes->Find(head.destination);
-    flow.waiting_since = now;
-    m_queue.Add({.flow = head.FromCaller(),
-                 .priority = route == nullptr ? 0 : route->priority,
-                 .latency_goal =
-                     route == nullptr ? base::Millis(0) : route->latency_goal,
-                 .since = now});
-  }
-  flow.last_used = now;
-  flow.caller_acknowledged = head.acknowledged;
-  if (flow.waiting.size() < kMaxWaitingPackets) {
-    flow.waiting.emplace(head.sequence, forward.packet);
-  }
-  return true;
-}
-
-void UpstreamGate::DeliverWaiting(base::Millis now, GateActions& actions) {
-  while (std::optional<FlowEnds> ends = m_queue.Next(m_busy, now)) {
-    auto found = m_flows.find(*ends);
-    if (found == m_flows.end()) {
-      continue;
-    }
-    Flow& flow = found->second;
-    actions.emplace_back(
-        RequestWaited{*ends, now - flow.waiting_since, m_queue.size()});
-    for (auto& [sequence, packet] : std::exchange(flow.waiting, {})) {
-      actions.emplace_back(ToUpstream{std::move(packet)});
-    }
-    if (flow.stage == Stage::kOffered) {
-      flow.stage = Stage::kOpen;
-    }
-    m_busy_order.emplace_back(now, *ends);
-    SetBusy(flow, flow.stage != Stage::kClosed, now);
-  }
-}
-
 void UpstreamGate::NoteCallerPacket(Flow& flow,
                                     const PacketHead& head,
                                     base::Millis now) {
@@ -267,10 +199,7 @@
   }
   bool request = news && head.data_bytes > 0;
   bool over = flow.stage == Stage::kClosed;
-  if (request && !flow.busy) {
-    m_busy_order.emplace_back(now, head.FromCaller());
-  }
-  SetBusy(flow, (flow.busy || request) && !over, now);
+  SetBusy(head.FromCaller(), flow, (flow.busy || request) && !over, now);
 }
 
 void UpstreamGate::NoteUpstreamPacket(Flow& flow,
@@ -279,7 +208,8 @@
   flow.last_used = now;
   flow.answered = true;
   uint32_t end = head.sequence + head.data_bytes;
-  if (!flow.upstream_seen || Distance(end, flow.upstream_end) > 0) {
+  if (!flow.upstream_seen ||
+      flow::SequenceDistance(end, flow.upstream_end) > 0) {
     flow.upstream_seen = true;
     flow.upstream_end = end;
   }
@@ -288,7 +218,7 @@
     flow.stage = Stage::kClosed;
   }
   if (head.data_bytes > 0 || flow.stage == Stage::kClosed) {
-    SetBusy(flow, false, now);
+    SetBusy(head.ToCaller(), flow, false, now);
   }
 }
 
@@ -335,15 +265,10 @@
   auto found = m_flows.find(ends);
   if (head.AsksToOpen()) {
     if (found != m_flows.end() && !found->second.answered) {
-      Answer(found->second.balancer, ends, Holding::kRefused,
-             Reason::kUpstreamRefused, "", now, actions);
-      NoteOffer(ends, Reason::kUpstreamRefused, now - found->second.offered_at,
-                now, actions);
-      if (now >= m_refusing_until) {
+      RefuseOffer(found, Reason::kUpstreamRefused, now, actions);
+      if (m_life.Refuse(now)) {
         actions.emplace_back(ReportNow{});
       }
-      m_refusing_until = now + kRefusingSpan;
-      Erase(found, now);
     }
     return;
   }
@@ -359,9 +284,19 @@
   Erase(found, now);
 }
 
+UpstreamGate::Flows::iterator UpstreamGate::RefuseOffer(Flows::iterator flow,
+                                                        Reason reason,
+                                                        base::Millis now,
+                                                        GateActions& actions) {
+  Answer(flow->second.balancer, flow->first, Holding::kRefused, reason, "", now,
+         actions);
+  NoteOffer(flow->first, reason, now - flow->second.offered_at, now, actions);
+  return Erase(flow, now);
+}
+
 UpstreamGate::Flows::iterator UpstreamGate::Erase(Flows::iterator flow,
                                                   base::Millis now) {
-  SetBusy(flow->second, false, now);
+  SetBusy(flow->first, flow->second, false, now);
   if (!flow->second.waiting.empty()) {
     m_queue.Remove(flow->first);
   }
@@ -371,61 +306,21 @@
   return m_flows.erase(flow);
 }
 
-void UpstreamGate::AdvanceRate(base::Millis now) {
-  double span = static_cast<double>((now - m_rate_at).count());
-  double keep = std::exp(-span / static_cast<double>(kRateSpan.count()));
-  m_busy_mean = m_busy_mean * keep + m_busy * (1 - keep);
-  m_rate_at = now;
-}
-
-void UpstreamGate::SetBusy(Flow& flow, bool busy, base::Millis now) {
-  if (flow.busy == busy) {
-    return;
-  }
-  AdvanceRate(now);
-  flow.busy = busy;
-  flow.busy_since = now;
-  m_busy += busy ? 1 : -1;
-}
-
 bool UpstreamGate::OnBeat(const UpstreamBeat& beat,
                           base::Millis now,
                           GateActions& actions) {
-  if (beat.state == UpstreamState::kGone) {
-    if (beat.id != m_id) {
-      return false;
-    }
-    m_state = UpstreamState::kGone;
-    m_gone_at = now;
-    actions.emplace_back(ReportNow{});
-    return true;
-  }
-  bool same_run = beat.id == m_id && beat.started == m_run_started;
-  if (base::ServiceIdOf(beat.service) != m_options.service ||
-      (!same_run && beat.started < m_run_started) ||
-      (same_run && beat.sequence <= m_last_sequence)) {
+  BeatOutcome outcome = m_life.OnBeat(beat, now);
+  if (outcome == BeatOutcome::kIgnored) {
     return false;
   }
-  bool had_run = !m_id.empty();
-  if (!same_run) {
-    if (had_run) {
-      LoseFlows(Reason::kUpstreamRestarted, actions);
-    }
-    m_saw_whole_run = had_run || beat.sequence <= 1;
-    m_id = beat.id;
-    m_run_started = beat.started;
-    m_gone_at = base::kNever;
-  }
-  bool refusing = now < m_refusing_until;
-  bool news = !same_run || m_state != beat.state || m_silent || refusing;
-  m_refusing_until = now;
-  m_last_sequence = beat.sequence;
-  m_state = beat.state;
-  m_slots = std::max(beat.slots, 1U);
-  m_queue.SetSlots(m_slots);
-  m_cold_until = now + beat.cold_for;
-  HearUpstream(now, actions);
-  if (news) {
+  if (outcome == BeatOutcome::kNewRun) {
+    LoseFlows(Reason::kUpstreamRestarted, now, actions);
+  }
+  if (outcome != BeatOutcome::kGone) {
+    m_queue.SetSlots(m_life.slots());
+    HearUpstream(now, actions);
+  }
+  if (outcome != BeatOutcome::kSame) {
     actions.emplace_back(ReportNow{});
   }
   return true;
@@ -434,35 +329,31 @@
 void UpstreamGate::OnHealth(bool answered,
                             base::Millis now,
                             GateActions& actions) {
-  m_checking = false;
-  m_next_check = now + kCheckInterval;
-  m_check_failed = !answered;
-  if (!answered) {
-    return;
+  base::Millis heard_ago = m_life.HeardAgo(now);
+  if (m_life.OnHealth(answered, now)) {
+    NoteSilence(false, heard_ago, now, actions);
   }
-  HearUpstream(now, actions);
 }
 
 void UpstreamGate::HearUpstream(base::Millis now, GateActions& actions) {
-  if (m_silent) {
-    SetSilent(false, now, actions);
+  base::Millis heard_ago = m_life.HeardAgo(now);
+  if (m_life.Hear(now)) {
+    NoteSilence(false, heard_ago, now, actions);
   }
-  m_last_heard = now;
-  m_owed_since = base::kNever;
 }
 
-void UpstreamGate::SetSilent(bool silent,
-                             base::Millis now,
-                             GateActions& actions) {
-  actions.emplace_back(UpstreamSilence{silent, now - m_last_heard,
-                                       now - m_owed_since >= kOpenPatience});
-  m_silent = silent;
-  m_silent_since = silent ? now : base::kNever;
-  m_check_failed = false;
+void UpstreamGate::NoteSilence(bool silent,
+                               base::Millis heard_ago,
+                               base::Millis now,
+                               GateActions& actions) {
+  actions.emplace_back(
+      UpstreamSilence{silent, heard_ago, m_life.OwesOpening(now)});
   actions.emplace_back(ReportNow{});
 }
 
-void UpstreamGate::LoseFlows(Reason reason, GateActions& actions) {
+void UpstreamGate::LoseFlows(Reason reason,
+                             base::Millis now,
+                             GateActions& actions) {
   for (const auto& [ends, flow] : m_flows) {
     if (flow.stage == Stage::kOpen) {
       actions.emplace_back(ResetCaller{ends, flow.caller_acknowledged, reason});
@@ -470,48 +361,24 @@
   }
   m_flows.clear();
   m_queue.Clear();
-  m_busy_order.clear();
+  m_meter.Clear(now);
   m_open = 0;
-  m_busy = 0;
-  m_busy_mean = 0;
   m_offers_pending = false;
-  m_owed_since = base::kNever;
 }
 
-void UpstreamGate::ExpireBusy(base::Millis now) {
-  while (!m_busy_order.empty() && now - m_busy_order.front().first > kMaxBusy) {
-    auto [since, ends] = m_busy_order.front();
-    m_busy_order.pop_front();
-    auto found = m_flows.find(ends);
-    if (found != m_flows.end() && found->second.busy_since == since) {
-      SetBusy(found->second, false, now);
-    }
+void UpstreamGate::CheckLife(base::Millis now, GateActions& actions) {
+  LifeCheck check = m_life.OnTick(m_meter.count() > 0, now);
+  if (check.fell_silent) {
+    NoteSilence(true, m_life.HeardAgo(now), now, actions);
   }
-}
-
-void UpstreamGate::CheckSilence(base::Millis now, GateActions& actions) {
-  base::Millis unheard = now - m_last_heard;
-  bool owes_opening = now - m_owed_since >= kOpenPatience;
-  bool owes = owes_opening || m_busy > 0;
-  if (!m_silent && owes && unheard >= kSilencePatience) {
-    // Work may take long, but a new flow is accepted or refused at once.
-    if (owes_opening || m_check_failed) {
-      SetSilent(true, now, actions);
-    }
-  }
-  bool doubt = m_silent || (owes && unheard >= kSilencePatience);
-  if (!doubt) {
-    m_check_failed = false;
-    return;
-  }
-  if (!m_checking && now >= m_next_check) {
-    m_checking = true;
+  if (check.ask_health) {
     actions.emplace_back(CheckUpstream{});
   }
-  bool dead =
-      m_silent && m_check_failed && now - m_silent_since >= kDeadPatience;
-  if (dead && !m_flows.empty()) {
-    LoseFlows(Reason::kUpstreamSilent, actions);
+  if (check.ended) {
+    LoseFlows(Reason::kUpstreamRestarted, now, actions);
+  }
+  if (check.dead && !m_flows.empty()) {
+    LoseFlows(Reason::kUpstreamSilent, now, actions);
   }
 }
 
@@ -525,16 +392,12 @@
       ++flow;
       continue;
     }
-    if (now - flow->second.offered_at < kOpenPatience) {
+    if (now - flow->second.offered_at < UpstreamLife::kOpenPatience) {
       m_offers_pending = true;
       ++flow;
       continue;
     }
-    Answer(flow->second.balancer, flow->first, Holding::kRefused,
-           Reason::kUpstreamSilent, "", now, actions);
-    NoteOffer(flow->first, Reason::kUpstreamSilent,
-              now - flow->second.offered_at, now, actions);
-    flow = Erase(flow, now);
+    flow = RefuseOffer(flow, Reason::kUpstreamSilent, now, actions);
   }
 }
 
@@ -553,19 +416,10 @@
   base::Millis gap = now - m_last_tick;
   m_last_tick = now;
   if (gap > kMaxTickGap) {
-    // Paused: packets that came meanwhile have yet to be read.
-    m_last_heard = now;
-    m_owed_since = base::kNever;
-    if (m_silent) {
-      m_silent_since = now;
-    }
+    m_life.OnPause(now);
     return;
   }
-  if (m_state == UpstreamState::kGone && now - m_gone_at >= kGoneLinger) {
-    LoseFlows(Reason::kUpstreamRestarted, actions);
-    m_gone_at = base::kNever;
-  }
-  CheckSilence(now, actions);
+  CheckLife(now, actions);
   ExpireBusy(now);
   DeliverWaiting(now, actions);
   ExpireOffers(now, actions);
@@ -576,33 +430,32 @@
 }
 
 UpstreamLoad UpstreamGate::LoadNow(base::Millis now) const {
-  double span = static_cast<double>((now - m_rate_at).count());
-  double keep = std::exp(-span / static_cast<double>(kRateSpan.count()));
-  double mean = m_busy_mean * keep + m_busy * (1 - keep);
-  return {.slots = Narrow(m_slots),
-          .busy = Narrow(static_cast<int64_t>(m_busy + m_queue.size())),
+  auto mean = static_cast<int64_t>(m_meter.Mean(now) * kHundredths);
+  auto busy = static_cast<int64_t>(m_meter.count() + m_queue.size());
+  return {.slots = Narrow(m_life.slots()),
+          .busy = Narrow(busy),
           .open = Narrow(m_open),
-          .busy_mean = Narrow(static_cast<int64_t>(mean * kHundredths)),
-          .cold_ms = Narrow((m_cold_until - now).count())};
+          .busy_mean = Narrow(mean),
+          .cold_ms = Narrow(m_life.ColdFor(now).count())};
 }
 
 UpstreamState UpstreamGate::ReportedState(base::Millis now) const {
-  bool absent =
-      m_state == UpstreamState::kUnknown && now - m_started > kUnheardUpstream;
-  if (m_leaving && absent) {
+  if (!m_leaving) {
+    return m_life.state();
+  }
+  if (m_life.IsAbsent(now)) {
     return UpstreamState::kGone;
   }
-  return m_leaving && m_state == UpstreamState::kReady
-             ? UpstreamState::kDraining
-             : m_state;
+  return m_life.state() == UpstreamState::kReady ? UpstreamState::kDraining
+                                                 : m_life.state();
 }
 
 UpstreamReport UpstreamGate::Report(base::Millis now) const {
   return {.service = m_options.service,
           .data_centre = m_options.data_centre,
-          .run = RunName(m_id, m_run_started),
+          .run = m_life.run(),
           .state = ReportedState(now),
-          .silent = m_silent || now < m_refusing_until,
+          .silent = m_life.silent() || m_life.IsRefusing(now),
           .load = LoadNow(now),
           .revision = m_routes->revision()};
 }
--- a/filberthollow/decision/upstream_gate.h
+++ b/filberthollow/decision/upstream_gate.h
@@ -11,103 +11,22 @@
 #define FILBERTHOLLOW_DECISION_UPSTREAM_GATE_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <utility>
-#include <variant>
 #include <vector>
 
+#include "filberthollow/decision/busy_meter.h"
+#include "filberthollow/decision/gate_actions.h"
 #include "filberthollow/decision/packet_messages.h"
 #include "filberthollow/decision/request_queue.h"
 #include "filberthollow/decision/route_table.h"
+#include "filberthollow/decision/upstream_life.h"
 
 namespace filberthollow::decision {
 
-// ToUpstream delivers a packet.
-struct ToUpstream {
-  std::string packet;
-  friend bool operator==(const ToUpstream&, const ToUpstream&) = default;
-};
-// ToCaller sends the upstream's packet to the caller.
-struct ToCaller {
-  base::Address caller;
-  std::string packet;
-  friend bool operator==(const ToCaller&, const ToCaller&) = default;
-};
-// ResetCaller ends a flow that its upstream has lost.
-struct ResetCaller {
-  flow::FlowEnds flow;
-  uint32_t sequence = 0;
-  flow::Reason reason{};
-  friend bool operator==(const ResetCaller&, const ResetCaller&) = default;
-};
-// AnswerBalancer answers a balancer.
-struct AnswerBalancer {
-  base::Address balancer;
-  FlowAnswer answer;
-  friend bool operator==(const AnswerBalancer&,
-                         const AnswerBalancer&) = default;
-};
-// CheckUpstream asks the upstream's health check for a sign of life.
-struct CheckUpstream {
-  friend bool operator==(CheckUpstream, CheckUpstream) = default;
-};
-// ReportNow tells the balancers at once.
-struct ReportNow {
-  friend bool operator==(ReportNow, ReportNow) = default;
-};
-
-// The following are notes of what was decided, and by which inputs, for logs
-// and metrics.
-
-// OfferDecided: a new flow was taken or refused.
-struct OfferDecided {
-  flow::FlowEnds flow;
-  bool taken = false;
-  flow::Reason reason{};  // if it was refused
-  UpstreamState state{};
-  base::Millis heard_ago;  // the upstream
-  base::Millis took;       // the upstream to answer
-  UpstreamLoad load;
-  friend bool operator==(const OfferDecided&, const OfferDecided&) = default;
-};
-// RequestWaited: a request was delivered late, since the upstream was full.
-struct RequestWaited {
-  flow::FlowEnds flow;
-  base::Millis waited;
-  size_t still_waiting = 0;
-  friend bool operator==(const RequestWaited&, const RequestWaited&) = default;
-};
-// RequestAnswered: the first byte of an answer has come.
-struct RequestAnswered {
-  base::Millis took;
-  friend bool operator==(RequestAnswered, RequestAnswered) = default;
-};
-// UpstreamSilence: the upstream has fallen silent, or is heard again.
-struct UpstreamSilence {
-  bool silent = false;
-  base::Millis heard_ago;
-  bool owes_opening = false;  // it has not answered an opening packet
-  friend bool operator==(const UpstreamSilence&,
-                         const UpstreamSilence&) = default;
-};
-
-using GateAction = std::variant<ToUpstream,
-                                ToCaller,
-                                ResetCaller,
-                                AnswerBalancer,
-                                CheckUpstream,
-                                ReportNow,
-                                OfferDecided,
-                                RequestWaited,
-                                RequestAnswered,
-                                UpstreamSilence>;
-using GateActions = std::vector<GateAction>;
-
 // GateOptions are fixed at the start.
 struct GateOptions {
   base::ServiceId service{};
@@ -115,55 +34,25 @@
   // No upstream can hold a flow that this agent has not seen.
   bool first_start = false;
   base::Millis flow_lifetime{60'000};
+  base::Millis beat_interval{1000};  // of the upstream's heartbeats
   friend bool operator==(const GateOptions&, const GateOptions&) = default;
 };
 
 // UpstreamGate belongs to one task.
 class UpstreamGate {
  public:
-  // kOpenPatience is how long the upstream may take to accept or refuse a new
-  // flow, which it does without waiting for a slot. A caller repeats its own
-  // request only after 200 ms, so another upstream can still be tried unseen.
-  static constexpr base::Millis kOpenPatience{50};
-  // kSilencePatience: an upstream that owes an answer and has sent nothing for
-  // so long is silent. Shorter, a host that stalls for a quota's 100 ms or a
-  // burst of work would be taken for a dead one.
-  static constexpr base::Millis kSilencePatience{250};
-  // kDeadPatience: an upstream that has been silent for so long, its health
-  // check included, has lost its flows; their callers are told. A process that
-  // is only slow sends something within it.
-  static constexpr base::Millis kDeadPatience{600};
   // kClosedLinger keeps a closed flow for late copies of its last packets;
   // ends repeat them for up to 1.6 s.
   static constexpr base::Millis kClosedLinger{3000};
-  // kCheckInterval is the pause between health checks of a silent upstream.
-  static constexpr base::Millis kCheckInterval{300};
-  // kGoneLinger is how long an upstream may take to end after its last word;
-  // until then its own packets may still be on their way.
-  static constexpr base::Millis kGoneLinger{500};
-  // kRefusingSpan is how long no new flow is offered after the upstream has
-  // handed one back, unless it gives a sign of life first. A host whose
-  // upstream is down hands back everything, and each try costs a caller time.
-  static constexpr base::Millis kRefusingSpan{500};
-  // kUnheardUpstream: an upstream that was not heard of for so long after the
-  // agent's start is not there; heartbeats come every second or so.
-  static constexpr base::Millis kUnheardUpstream{3000};
   // kMaxTickGap: after a longer gap between ticks this process was paused, and
   // what it did not hear meanwhile proves nothing.
   static constexpr base::Millis kMaxTickGap{350};
   // kSequenceSlack is how far a caller's acknowledgement may lie beyond what
   // the upstream was seen to send; packets may pass while an agent restarts.
   static constexpr uint32_t kSequenceSlack = 76'800;
-  // kMaxBusy is how long a request without an answer counts as work. Its caller
-  // may have left before it had sent the whole of it; counted for ever, a few
-  // such would keep all others waiting.
-  static constexpr base::Millis kMaxBusy{1000};
   // kMaxWaitingPackets bounds the packets kept of one request; an end has at
   // most 16 in flight.
   static constexpr size_t kMaxWaitingPackets = 16;
-  // kRateSpan is the time over which `busy_mean` is taken.
-  static constexpr base::Millis kRateSpan{1000};
-
   UpstreamGate(GateOptions options, base::Millis now);
 
   void SetRoutes(std::shared_ptr<const RouteTable> routes) {
@@ -200,7 +89,8 @@
   base::Millis TickDelay() const {
     return m_offers_pending ? kBusyTick : kIdleTick;
   }
-  // kBusyTick is half of kOpenPatience, so that it is kept within half.
+  // kBusyTick is half of the patience with an offer, so that it is kept within
+  // half.
   static constexpr base::Millis kBusyTick{25};
   // kIdleTick: silence is judged in hundreds of milliseconds; shorter ticks
   // would cost processor time for nothing.
@@ -274,13 +164,24 @@
               std::string packet,
               base::Millis now,
               GateActions& actions) const;
-  void SetBusy(Flow& flow, bool busy, base::Millis now);
-  void AdvanceRate(base::Millis now);
+  void SetBusy(const flow::FlowEnds& ends,
+               Flow& flow,
+               bool busy,
+               base::Millis now);
   // Tells the callers of all open flows that their upstream has lost them.
-  void LoseFlows(flow::Reason reason, GateActions& actions);
+  void LoseFlows(flow::Reason reason, base::Millis now, GateActions& actions);
   // Notes a sign of life.
   void HearUpstream(base::Millis now, GateActions& actions);
-  void SetSilent(bool silent, base::Millis now, GateActions& actions);
+  // Notes that the upstream has fallen silent or is heard again.
+  void NoteSilence(bool silent,
+                   base::Millis heard_ago,
+                   base::Millis now,
+                   GateActions& actions);
+  // Refuses an offer that is in the table, and drops it.
+  Flows::iterator RefuseOffer(Flows::iterator flow,
+                              flow::Reason reason,
+                              base::Millis now,
+                              GateActions& actions);
   // Notes that an offer was taken, or refused for a reason.
   void NoteOffer(const flow::FlowEnds& ends,
                  std::optional<flow::Reason> refused,
@@ -289,7 +190,7 @@
                  GateActions& actions) const;
   // Stops counting requests that have been without an answer for too long.
   void ExpireBusy(base::Millis now);
-  void CheckSilence(base::Millis now, GateActions& actions);
+  void CheckLife(base::Millis now, GateActions& actions);
   void ExpireOffers(base::Millis now, GateActions& actions);
   void DropOldFlows(base::Millis now);
   Flows::iterator Erase(Flows::iterator flow, base::Millis now);
@@ -303,33 +204,11 @@
       std::make_shared<const RouteTable>();
   Flows m_flows;
 
-  // The upstream as its heartbeats tell.
-  UpstreamState m_state = UpstreamState::kUnknown;
-  std::string m_id;
-  base::Millis m_run_started{-1};
-  uint64_t m_last_sequence = 0;
-  bool m_saw_whole_run = false;
-  uint32_t m_slots = 1;
-  base::Millis m_cold_until{0};
-
-  // Signs of life.
-  base::Millis m_last_heard;  // any packet, heartbeat or health answer
-  base::Millis m_owed_since{base::kNever};  // first unanswered opening packet
-  bool m_silent = false;
-  bool m_checking = false;  // a health check is under way
-  base::Millis m_silent_since{base::kNever};
-  base::Millis m_refusing_until{INT64_MIN / 4};
-  base::Millis m_next_check{0};
-  bool m_check_failed = false;  // the last health check since it fell silent
-  base::Millis m_gone_at{base::kNever};
+  UpstreamLife m_life;
   base::Millis m_last_tick;
-
   RequestQueue m_queue;
-  std::deque<std::pair<base::Millis, flow::FlowEnds>> m_busy_order;
-  uint32_t m_busy = 0;
+  BusyMeter m_meter;
   uint32_t m_open = 0;
-  double m_busy_mean = 0;
-  base::Millis m_rate_at;
   base::Millis m_next_sweep{0};
   bool m_offers_pending = false;
   bool m_leaving = false;
--- a/filberthollow/decision/upstream_gate_test.cc
+++ b/filberthollow/decision/upstream_gate_test.cc
@@ -141,7 +141,7 @@
   BOOST_TEST(gate.flows() == 0U);
   BOOST_TEST(gate.Report(now).silent);
   BOOST_TEST((RefusalOf(Forward(Opening())) == Reason::kUpstreamRefused));
-  Pass(UpstreamGate::kRefusingSpan);
+  Pass(UpstreamLife::kRefusingSpan);
   BOOST_TEST(!gate.Report(now).silent);
   BOOST_TEST(Only<ToUpstream>(Forward(Opening())).size() == 1U);
 }
@@ -157,7 +157,7 @@
 BOOST_FIXTURE_TEST_CASE(AnUnansweredOfferIsHandedBack, Fixture) {
   Hear(Beat(1));
   Forward(Opening());
-  BOOST_TEST((RefusalOf(Pass(UpstreamGate::kOpenPatience)) ==
+  BOOST_TEST((RefusalOf(Pass(UpstreamLife::kOpenPatience)) ==
               Reason::kUpstreamSilent));
 }
 
@@ -195,6 +195,15 @@
   BOOST_TEST((Ask() == Holding::kHeld));
 }
 
+// Callers of flows that died with another upstream waited for its guesses.
+BOOST_AUTO_TEST_CASE(AnAgentThatRestartedWithoutAnUpstreamIsSureInTime) {
+  Fixture f(/*first_start=*/false);
+  BOOST_TEST((f.Ask() == Holding::kUnsure));
+  f.now = f.now + Millis(1000) * UpstreamLife::kAbsentBeats +
+          UpstreamLife::kAbsentSlack + Millis(1);
+  BOOST_TEST((f.Ask() == Holding::kNotHeld));
+}
+
 BOOST_FIXTURE_TEST_CASE(AWrongGuessResetsNobody, RestartedAgent) {
   auto guess = decision::Forward{.revision = 5, .guess = true, .packet = "p"};
   Forward(Data(101, 500), guess);
@@ -242,10 +251,10 @@
   flow::PacketHead second = Opening();
   second.source.port = 1;
   Forward(second);
-  GateActions seen = Pass(UpstreamGate::kSilencePatience + kStep);
+  GateActions seen = Pass(UpstreamLife::kSilencePatience + kStep);
   BOOST_TEST(Only<CheckUpstream>(seen).size() == 1U);
   BOOST_TEST(gate.Report(now).silent);
-  BOOST_TEST(Only<ResetCaller>(Pass(UpstreamGate::kDeadPatience * 2)).empty());
+  BOOST_TEST(Only<ResetCaller>(Pass(UpstreamLife::kDeadPatience * 2)).empty());
   gate.OnHealth(false, now, actions);
   Take();
   BOOST_TEST(Only<ResetCaller>(Pass(kStep)).size() == 1U);
@@ -254,7 +263,7 @@
 BOOST_FIXTURE_TEST_CASE(ASlowUpstreamIsNotDead, Fixture) {
   OpenFlow();
   Forward(Data(101, 500));
-  Pass(UpstreamGate::kSilencePatience * 2);
+  Pass(UpstreamLife::kSilencePatience * 2);
   gate.OnHealth(true, now, actions);
   Take();
   BOOST_TEST(!gate.Report(now).silent);
@@ -282,7 +291,7 @@
   BOOST_TEST((RefusalOf(Forward(other)) == Reason::kDraining));
   BOOST_TEST(Only<ToUpstream>(Forward(Data(101, 500))).size() == 1U);
   BOOST_TEST(
-      Only<ResetCaller>(Pass(UpstreamGate::kGoneLinger + kStep)).size() == 1U);
+      Only<ResetCaller>(Pass(UpstreamLife::kGoneLinger + kStep)).size() == 1U);
 }
 
 BOOST_FIXTURE_TEST_CASE(ALeavingAgentTakesNoNewFlows, Fixture) {
@@ -299,7 +308,8 @@
 BOOST_FIXTURE_TEST_CASE(ALeavingAgentWithoutAnUpstreamHoldsNothing, Fixture) {
   gate.Leave();
   BOOST_TEST((gate.Report(now).state == UpstreamState::kUnknown));
-  now = now + UpstreamGate::kUnheardUpstream + Millis(1);
+  now = now + Millis(1000) * UpstreamLife::kAbsentBeats +
+        UpstreamLife::kAbsentSlack + Millis(1);
   BOOST_TEST((gate.Report(now).state == UpstreamState::kGone));
 }
 
@@ -392,7 +402,7 @@
   Request(2);
   BOOST_TEST(!Request(3));
   FromUpstream(Reply(UpstreamData(kUpstreamStart, 0), 1));
-  GateActions seen = Pass(UpstreamGate::kMaxBusy + kStep);
+  GateActions seen = Pass(BusyMeter::kMaxBusy + kStep);
   BOOST_TEST(Only<ToUpstream>(seen).size() == 1U);
 }
 
--- a/filberthollow/flow/packet.h
+++ b/filberthollow/flow/packet.h
@@ -39,6 +39,12 @@
   }
 };
 
+// SequenceDistance returns how far `a` is after `b` in the circle of sequence
+// numbers; negative if it is before.
+constexpr int32_t SequenceDistance(uint32_t a, uint32_t b) {
+  return static_cast<int32_t>(a - b);
+}
+
 // PacketHead is the part of a packet that is read on the way.
 struct PacketHead {
   base::Address source;
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -27,7 +27,8 @@
   return {.service = base::ServiceIdOf(file.service),
           .data_centre = base::HashBytes(file.data_centre),
           .first_start = file.first_start,
-          .flow_lifetime = file.flow_lifetime};
+          .flow_lifetime = file.flow_lifetime,
+          .beat_interval = file.beat_interval};
 }
 
 }  // namespace
@@ -37,27 +38,15 @@
                      const NodeFile& file,
                      const Adapter& adapter,
                      AgentSockets sockets)
-    : LoopTask(clock, registry, kPacketsService),
+    : PacketsTask(clock, registry, file, adapter, std::move(sockets.peers)),
       m_upstream(file.upstream),
-      m_caller_port(file.caller_port),
-      m_format(*adapter.packets),
-      m_sockets(std::move(sockets)),
-      m_gate(GateOptionsOf(file), clock.Now()),
-      m_balancers(file.peers) {}
+      m_outbound(std::move(sockets.outbound)),
+      m_gate(GateOptionsOf(file), clock.Now()) {}
 
 void AgentTask::OnStart() {
-  auto outbound = m_sockets.outbound->Watch(
-      loop(),
-      [this](auto bytes, auto from) { OnUpstreamDatagram(bytes, from); });
-  auto peers = m_sockets.peers->Watch(
-      loop(), [this](auto bytes, auto from) { OnPeerDatagram(bytes, from); });
-  for (const auto* result : {&outbound, &peers}) {
-    if (!*result) {
-      base::Log(Level::kError, "socket_failed",
-                {{"error", result->error().Text()}});
-    }
-  }
-  ArmTick();
+  Watch(*m_outbound,
+        [this](auto bytes, auto from) { OnUpstreamDatagram(bytes, from); });
+  StartPeers();
   OnReportTimer();
   ArmSearch();
 }
@@ -107,9 +96,8 @@
 }
 
 void AgentTask::Handle(const LeaveFleet& /*m*/) {
-  m_left_at = Now();
+  StartLeaving();
   m_gate.Leave();
-  m_last_packet = Now();
   ReportToLively();
 }
 
@@ -123,34 +111,27 @@
 }
 
 void AgentTask::OnUpstreamDatagram(std::string_view bytes, base::Address from) {
-  auto head = m_format.Read(bytes);
-  if (!head || from.ip != m_upstream.ip) {
+  if (from.ip != m_upstream.ip) {
     m_metrics.Count(flow::Reason::kMalformed);
     return;
   }
-  m_last_packet = Now();
-  m_gate.OnUpstreamPacket(bytes, *head, Now(), m_actions);
-  Act();
+  if (auto head = ReadHead(bytes)) {
+    NotePacket();
+    m_gate.OnUpstreamPacket(bytes, *head, Now(), m_actions);
+    Act();
+  }
 }
 
-void AgentTask::OnPeerDatagram(std::string_view bytes, base::Address from) {
-  auto message = wire::DecodePacketMessage(bytes);
-  if (!message) {
-    m_metrics.Count(message.reason());
-    return;
-  }
-  std::visit([this, from](const auto& m) { HandlePeer(m, from); }, *message);
+void AgentTask::OnPeer(const wire::PacketMessage& message, base::Address from) {
+  std::visit([this, from](const auto& m) { HandlePeer(m, from); }, message);
 }
 
 void AgentTask::HandlePeer(const decision::Forward& m, base::Address from) {
-  auto head = m_format.Read(m.packet);
-  if (!head) {
-    m_metrics.Count(flow::Reason::kMalformed);
-    return;
+  if (auto head = ReadHead(m.packet)) {
+    NotePacket();
+    m_gate.OnForward(m, *head, from, Now(), m_actions);
+    Act();
   }
-  m_last_packet = Now();
-  m_gate.OnForward(m, *head, from, Now(), m_actions);
-  Act();
 }
 
 void AgentTask::HandlePeer(const decision::Locate& m, base::Address from) {
@@ -171,10 +152,7 @@
 
 void AgentTask::HandlePeer(const decision::BalancerHello& m,
                            base::Address from) {
-  if (m.revision > m_gate.revision()) {
-    Post(config::kConfigService,
-         config::ConfigMessage(config::NewerRevision{m.revision, from}));
-  }
+  NoteRevision(m.revision, m_gate.revision(), from);
   m_balancers.Hear(from, m.leaving, Now());
   Handle(PeersFound{m.balancers});
 }
@@ -190,29 +168,18 @@
 
 void AgentTask::ActOn(const decision::ToUpstream& action) {
   m_metrics.Add("packets_to_upstream");
-  if (!m_sockets.outbound->Send(action.packet, m_upstream)) {
+  if (!m_outbound->Send(action.packet, m_upstream)) {
     m_metrics.Count(flow::Reason::kSendFailed);
   }
 }
 
 void AgentTask::ActOn(const decision::ToCaller& action) {
   m_metrics.Add("packets_to_callers");
-  if (!m_sockets.outbound->Send(action.packet,
-                                {action.caller.ip, m_caller_port})) {
-    m_metrics.Count(flow::Reason::kSendFailed);
-  }
+  SendToCaller(*m_outbound, action.packet, action.caller);
 }
 
 void AgentTask::ActOn(const decision::ResetCaller& action) {
-  m_metrics.Count(action.reason);
-  base::Log(Level::kWarning, "flow_reset",
-            {{"flow", action.flow.Text()},
-             {"reason", std::string(flow::ReasonName(action.reason))},
-             {"revision", m_gate.revision()}});
-  if (!m_sockets.outbound->Send(m_format.Reset(action.flow, action.sequence),
-                                {action.flow.caller.ip, m_caller_port})) {
-    m_metrics.Count(flow::Reason::kSendFailed);
-  }
+  SendReset(*m_outbound, action, m_gate.revision());
 }
 
 void AgentTask::ActOn(const decision::AnswerBalancer& action) {
@@ -269,28 +236,12 @@
              {"owes_opening", note.owes_opening ? "yes" : "no"}});
 }
 
-void AgentTask::SendToPeer(const wire::PacketMessage& message,
-                           base::Address to) {
-  if (!m_sockets.peers->Send(wire::EncodePacketMessage(message), to)) {
-    m_metrics.Count(flow::Reason::kSendFailed);
-  }
-}
-
-void AgentTask::ArmTick() {
-  base::Millis due = Now() + m_gate.TickDelay();
-  if (due >= m_next_tick) {
-    return;
-  }
-  loop().Cancel(m_tick_timer);
-  m_next_tick = due;
-  m_tick_timer = loop().After(m_gate.TickDelay(), [this] { OnTick(); });
-}
-
-void AgentTask::OnTick() {
-  m_next_tick = base::kNever;
+void AgentTask::Decide() {
   m_gate.OnTick(Now(), m_actions);
   Act();
-  CheckLeft();
+  if (m_gate.Report(Now()).state == UpstreamState::kGone) {
+    EndIfQuiet(kLeaveQuiet, base::Millis(0));
+  }
 }
 
 base::Millis AgentTask::ReportInterval() const {
@@ -322,14 +273,4 @@
   }
 }
 
-void AgentTask::CheckLeft() {
-  if (m_left_at == base::kNever) {
-    return;
-  }
-  bool ended = m_gate.Report(Now()).state == UpstreamState::kGone;
-  if (ended && Now() - m_last_packet >= kLeaveQuiet) {
-    kernel::NotifyDrained();
-  }
-}
-
 }  // namespace filberthollow::passthrough
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -8,14 +8,8 @@
 #include <string_view>
 #include <vector>
 
-#include "filberthollow/decision/balancer_set.h"
 #include "filberthollow/decision/upstream_gate.h"
-#include "filberthollow/metrics/metrics.h"
-#include "filberthollow/net/loop_task.h"
-#include "filberthollow/net/udp_socket.h"
-#include "filberthollow/passthrough/adapter.h"
-#include "filberthollow/passthrough/messages.h"
-#include "filberthollow/wire/packet_codec.h"
+#include "filberthollow/passthrough/packets_task.h"
 
 namespace filberthollow::passthrough {
 
@@ -25,7 +19,7 @@
   std::shared_ptr<net::UdpSocket> peers;
 };
 
-class AgentTask final : public net::LoopTask<PacketsMessage> {
+class AgentTask final : public PacketsTask {
  public:
   // kReportInterval is the shortest time between reports to one balancer;
   // balancers place flows by loads of that age and miss a dead host after
@@ -55,6 +49,9 @@
  protected:
   void OnStart() override;
   void OnMessage(const PacketsMessage& message) override;
+  void Decide() override;
+  base::Millis DecideAgainIn() const override { return m_gate.TickDelay(); }
+  void OnPeer(const wire::PacketMessage& message, base::Address from) override;
 
  private:
   void Handle(const RoutesChanged& m);
@@ -65,14 +62,13 @@
   void Handle(const admin::ReportQuery& m);
 
   void OnUpstreamDatagram(std::string_view bytes, base::Address from);
-  void OnPeerDatagram(std::string_view bytes, base::Address from);
   void HandlePeer(const decision::Forward& m, base::Address from);
   void HandlePeer(const decision::Locate& m, base::Address from);
   void HandlePeer(const decision::FlowAnswer& m, base::Address from);
   void HandlePeer(const decision::UpstreamReport& m, base::Address from);
   void HandlePeer(const decision::BalancerHello& m, base::Address from);
 
-  // Carries out what the gate decided and arms the next tick.
+  // Carries out what the gate decided.
   void Act();
   void ActOn(const decision::ToUpstream& action);
   void ActOn(const decision::ToCaller& action);
@@ -84,30 +80,18 @@
   void ActOn(const decision::RequestWaited& note);
   void ActOn(const decision::RequestAnswered& note);
   void ActOn(const decision::UpstreamSilence& note);
-  void OnTick();
-  void ArmTick();
   void OnReportTimer();
   void OnSearchTimer();
   void ArmSearch();
   base::Millis ReportInterval() const;
   void SendReports(const std::vector<base::Address>& balancers);
   void ReportToLively() { SendReports(m_balancers.Lively(Now())); }
-  void CheckLeft();
-  void SendToPeer(const wire::PacketMessage& message, base::Address to);
 
   const base::Address m_upstream;
-  const uint16_t m_caller_port;
-  const flow::PacketFormat& m_format;
-  AgentSockets m_sockets;
+  std::shared_ptr<net::UdpSocket> m_outbound;
   decision::UpstreamGate m_gate;
   decision::GateActions m_actions;
-  decision::BalancerSet m_balancers;
-  base::Millis m_next_tick{base::kNever};
-  net::Loop::TimerId m_tick_timer{};
   base::Millis m_search_interval = kFirstSearchInterval;
-  base::Millis m_left_at{base::kNever};
-  base::Millis m_last_packet{0};
-  metrics::Metrics m_metrics;
 };
 
 }  // namespace filberthollow::passthrough
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -17,25 +17,14 @@
                            const NodeFile& file,
                            const Adapter& adapter,
                            BalancerSockets sockets)
-    : LoopTask(clock, registry, kPacketsService),
-      m_caller_port(file.caller_port),
-      m_format(*adapter.packets),
-      m_sockets(std::move(sockets)),
-      m_router(base::HashBytes(file.data_centre), clock.Now()),
-      m_balancers(file.peers) {}
+    : PacketsTask(clock, registry, file, adapter, std::move(sockets.peers)),
+      m_callers(std::move(sockets.callers)),
+      m_router(base::HashBytes(file.data_centre), clock.Now()) {}
 
 void BalancerTask::OnStart() {
-  auto callers = m_sockets.callers->Watch(
-      loop(), [this](auto bytes, auto /*from*/) { OnCallerDatagram(bytes); });
-  auto peers = m_sockets.peers->Watch(
-      loop(), [this](auto bytes, auto from) { OnPeerDatagram(bytes, from); });
-  for (const auto* result : {&callers, &peers}) {
-    if (!*result) {
-      base::Log(Level::kError, "socket_failed",
-                {{"error", result->error().Text()}});
-    }
-  }
-  ArmTick();
+  Watch(*m_callers,
+        [this](auto bytes, auto /*from*/) { OnCallerDatagram(bytes); });
+  StartPeers();
   OnHelloTimer();
 }
 
@@ -58,8 +47,7 @@
 }
 
 void BalancerTask::Handle(const LeaveFleet& /*m*/) {
-  m_left_at = Now();
-  m_last_packet = Now();
+  StartLeaving();
   CheckReadiness();
   SendHellos();
 }
@@ -75,24 +63,17 @@
 }
 
 void BalancerTask::OnCallerDatagram(std::string_view bytes) {
-  m_last_packet = Now();
+  NotePacket();
   m_metrics.Add("caller_packets");
-  auto head = m_format.Read(bytes);
-  if (!head) {
-    m_metrics.Count(flow::Reason::kMalformed);
-    return;
+  if (auto head = ReadHead(bytes)) {
+    m_router.OnCallerPacket(bytes, *head, Now(), m_actions);
+    Act();
   }
-  m_router.OnCallerPacket(bytes, *head, Now(), m_actions);
-  Act();
 }
 
-void BalancerTask::OnPeerDatagram(std::string_view bytes, base::Address from) {
-  auto message = wire::DecodePacketMessage(bytes);
-  if (!message) {
-    m_metrics.Count(message.reason());
-    return;
-  }
-  std::visit([this, from](const auto& m) { HandlePeer(m, from); }, *message);
+void BalancerTask::OnPeer(const wire::PacketMessage& message,
+                          base::Address from) {
+  std::visit([this, from](const auto& m) { HandlePeer(m, from); }, message);
 }
 
 void BalancerTask::HandlePeer(const decision::Forward& /*m*/,
@@ -109,9 +90,8 @@
                               base::Address from) {
   flow::PacketHead head;
   if (!m.packet.empty()) {
-    auto read = m_format.Read(m.packet);
+    auto read = ReadHead(m.packet);
     if (!read) {
-      m_metrics.Count(flow::Reason::kMalformed);
       return;
     }
     head = *read;
@@ -130,7 +110,7 @@
 void BalancerTask::HandlePeer(const decision::UpstreamReport& m,
                               base::Address from) {
   m_router.OnReport(m, from, Now());
-  NoteRevision(m.revision, from);
+  NoteRevision(m.revision, m_router.revision(), from);
   auto [greeted, added] = m_greeted.try_emplace(from, Now());
   bool behind = m.revision < m_router.revision();
   if (added || behind || Now() - greeted->second >= kHelloInterval) {
@@ -142,20 +122,13 @@
 
 void BalancerTask::HandlePeer(const decision::BalancerHello& m,
                               base::Address from) {
-  NoteRevision(m.revision, from);
+  NoteRevision(m.revision, m_router.revision(), from);
   if (m_balancers.Hear(from, m.leaving, Now())) {
     SendHellos();  // agents are to report to it from now on
   }
   Handle(PeersFound{m.balancers});
 }
 
-void BalancerTask::NoteRevision(uint64_t revision, base::Address from) {
-  if (revision > m_router.revision()) {
-    Post(config::kConfigService,
-         config::ConfigMessage(config::NewerRevision{revision, from}));
-  }
-}
-
 void BalancerTask::Act() {
   for (const decision::RouterAction& action : m_actions) {
     std::visit([this](const auto& a) { ActOn(a); }, action);
@@ -174,16 +147,7 @@
 }
 
 void BalancerTask::ActOn(const decision::ResetCaller& action) {
-  m_metrics.Count(action.reason);
-  base::Log(Level::kWarning, "flow_reset",
-            {{"flow", action.flow.Text()},
-             {"reason", std::string(flow::ReasonName(action.reason))},
-             {"agents", m_router.Agents().size()},
-             {"revision", m_router.revision()}});
-  if (!m_sockets.callers->Send(m_format.Reset(action.flow, action.sequence),
-                               {action.flow.caller.ip, m_caller_port})) {
-    m_metrics.Count(flow::Reason::kSendFailed);
-  }
+  SendReset(*m_callers, action, m_router.revision());
 }
 
 void BalancerTask::ActOn(const decision::DropPacket& action) {
@@ -227,33 +191,15 @@
              {"isolated", note.isolated ? "yes" : "no"}});
 }
 
-void BalancerTask::SendToPeer(const wire::PacketMessage& message,
-                              base::Address to) {
-  if (!m_sockets.peers->Send(wire::EncodePacketMessage(message), to)) {
-    m_metrics.Count(flow::Reason::kSendFailed);
-  }
-}
-
-void BalancerTask::ArmTick() {
-  base::Millis due = Now() + m_router.TickDelay();
-  if (due >= m_next_tick) {
-    return;
-  }
-  loop().Cancel(m_tick_timer);
-  m_next_tick = due;
-  m_tick_timer = loop().After(m_router.TickDelay(), [this] { OnTick(); });
-}
-
-void BalancerTask::OnTick() {
-  m_next_tick = base::kNever;
+void BalancerTask::Decide() {
   m_router.OnTick(Now(), m_actions);
   Act();
   CheckReadiness();
-  CheckLeft();
+  EndIfQuiet(kLeaveQuiet, kLeaveAtLeast);
 }
 
 void BalancerTask::CheckReadiness() {
-  bool ready = m_router.IsReady(Now()) && m_left_at == base::kNever;
+  bool ready = m_router.IsReady(Now()) && !leaving();
   if (ready == m_ready) {
     return;
   }
@@ -264,14 +210,6 @@
   Post(kControlService, ControlMessage(ReadinessChanged{ready}));
 }
 
-void BalancerTask::CheckLeft() {
-  bool left = m_left_at != base::kNever && Now() - m_left_at >= kLeaveAtLeast &&
-              Now() - m_last_packet >= kLeaveQuiet;
-  if (left) {
-    kernel::NotifyDrained();
-  }
-}
-
 void BalancerTask::OnHelloTimer() {
   loop().After(kHelloInterval, [this] { OnHelloTimer(); });
   m_balancers.Forget(Now());
@@ -289,7 +227,7 @@
 
 void BalancerTask::SendHello(base::Address to) {
   SendToPeer(decision::BalancerHello{.revision = m_router.revision(),
-                                     .leaving = m_left_at != base::kNever,
+                                     .leaving = leaving(),
                                      .balancers = m_balancers.Staying(Now())},
              to);
 }
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -8,14 +8,8 @@
 #include <memory>
 #include <string_view>
 
-#include "filberthollow/decision/balancer_set.h"
 #include "filberthollow/decision/flow_router.h"
-#include "filberthollow/metrics/metrics.h"
-#include "filberthollow/net/loop_task.h"
-#include "filberthollow/net/udp_socket.h"
-#include "filberthollow/passthrough/adapter.h"
-#include "filberthollow/passthrough/messages.h"
-#include "filberthollow/wire/packet_codec.h"
+#include "filberthollow/passthrough/packets_task.h"
 
 namespace filberthollow::passthrough {
 
@@ -25,7 +19,7 @@
   std::shared_ptr<net::UdpSocket> peers;
 };
 
-class BalancerTask final : public net::LoopTask<PacketsMessage> {
+class BalancerTask final : public PacketsTask {
  public:
   // kHelloInterval is the time between hellos; a balancer that starts is known
   // to all within it.
@@ -45,6 +39,9 @@
  protected:
   void OnStart() override;
   void OnMessage(const PacketsMessage& message) override;
+  void Decide() override;
+  base::Millis DecideAgainIn() const override { return m_router.TickDelay(); }
+  void OnPeer(const wire::PacketMessage& message, base::Address from) override;
 
  private:
   void Handle(const RoutesChanged& m);
@@ -55,14 +52,13 @@
   void Handle(const admin::ReportQuery& m);
 
   void OnCallerDatagram(std::string_view bytes);
-  void OnPeerDatagram(std::string_view bytes, base::Address from);
   void HandlePeer(const decision::Forward& m, base::Address from);
   void HandlePeer(const decision::Locate& m, base::Address from);
   void HandlePeer(const decision::FlowAnswer& m, base::Address from);
   void HandlePeer(const decision::UpstreamReport& m, base::Address from);
   void HandlePeer(const decision::BalancerHello& m, base::Address from);
 
-  // Carries out what the router decided and arms the next tick.
+  // Carries out what the router decided.
   void Act();
   void ActOn(const decision::SendForward& action);
   void ActOn(const decision::SendLocate& action);
@@ -72,31 +68,18 @@
   void ActOn(const decision::OfferAccepted& note);
   void ActOn(const decision::FlowFound& note);
   void ActOn(const decision::AgentSilence& note);
-  void OnTick();
-  void ArmTick();
   void OnHelloTimer();
   void SendHello(base::Address to);
   // Tells every agent and balancer at once.
   void SendHellos();
   void GreetBalancers();
-  void NoteRevision(uint64_t revision, base::Address from);
   void CheckReadiness();
-  void CheckLeft();
-  void SendToPeer(const wire::PacketMessage& message, base::Address to);
 
-  const uint16_t m_caller_port;
-  const flow::PacketFormat& m_format;
-  BalancerSockets m_sockets;
+  std::shared_ptr<net::UdpSocket> m_callers;
   decision::FlowRouter m_router;
   decision::RouterActions m_actions;
-  decision::BalancerSet m_balancers;                // the others
   std::map<base::Address, base::Millis> m_greeted;  // agents
-  base::Millis m_next_tick{base::kNever};
-  net::Loop::TimerId m_tick_timer{};
   bool m_ready = false;
-  base::Millis m_left_at{base::kNever};
-  base::Millis m_last_packet{0};
-  metrics::Metrics m_metrics;
 };
 
 }  // namespace filberthollow::passthrough
--- a/filberthollow/passthrough/node_file.h
+++ b/filberthollow/passthrough/node_file.h
@@ -34,6 +34,7 @@
   base::Address upstream;       // packets to its upstream, and its health check
   base::Address announcements;  // HTTP, heartbeats of its upstream
   std::string service;
+  base::Millis beat_interval;  // of the upstream's heartbeats
 
   friend bool operator==(const NodeFile&, const NodeFile&) = default;
 };
--- /dev/null
+++ b/filberthollow/passthrough/packets_task.cc
@@ -0,0 +1,115 @@
+#include "filberthollow/passthrough/packets_task.h"
+
+#include <utility>
+
+#include "filberthollow/base/log.h"
+#include "filberthollow/config/config_messages.h"
+
+namespace filberthollow::passthrough {
+
+using base::Level;
+
+PacketsTask::PacketsTask(const base::Clock& clock,
+                         kernel::Registry& registry,
+                         const NodeFile& file,
+                         const Adapter& adapter,
+                         std::shared_ptr<net::UdpSocket> peers)
+    : LoopTask(clock, registry, kPacketsService),
+      m_balancers(file.peers),
+      m_caller_port(file.caller_port),
+      m_format(*adapter.packets),
+      m_peers(std::move(peers)) {}
+
+void PacketsTask::Watch(net::UdpSocket& socket,
+                        net::UdpSocket::Handler handler) {
+  if (auto watched = socket.Watch(loop(), std::move(handler)); !watched) {
+    base::Log(Level::kError, "socket_failed",
+              {{"error", watched.error().Text()}});
+  }
+}
+
+void PacketsTask::StartPeers() {
+  Watch(*m_peers, [this](auto bytes, auto from) {
+    auto message = wire::DecodePacketMessage(bytes);
+    if (!message) {
+      m_metrics.Count(message.reason());
+      return;
+    }
+    OnPeer(*message, from);
+  });
+  ArmTick();
+}
+
+std::optional<flow::PacketHead> PacketsTask::ReadHead(std::string_view packet) {
+  auto head = m_format.Read(packet);
+  if (!head) {
+    m_metrics.Count(flow::Reason::kMalformed);
+  }
+  return head;
+}
+
+void PacketsTask::SendToPeer(const wire::PacketMessage& message,
+                             base::Address to) {
+  if (!m_peers->Send(wire::EncodePacketMessage(message), to)) {
+    m_metrics.Count(flow::Reason::kSendFailed);
+  }
+}
+
+void PacketsTask::SendToCaller(net::UdpSocket& socket,
+                               std::string_view packet,
+                               base::Address caller) {
+  if (!socket.Send(packet, {caller.ip, m_caller_port})) {
+    m_metrics.Count(flow::Reason::kSendFailed);
+  }
+}
+
+void PacketsTask::SendReset(net::UdpSocket& socket,
+                            const decision::ResetCaller& reset,
+                            uint64_t revision) {
+  m_metrics.Count(reset.reason);
+  base::Log(Level::kWarning, "flow_reset",
+            {{"flow", reset.flow.Text()},
+             {"reason", std::string(flow::ReasonName(reset.reason))},
+             {"revision", revision}});
+  SendToCaller(socket, m_format.Reset(reset.flow, reset.sequence),
+               reset.flow.caller);
+}
+
+void PacketsTask::ArmTick() {
+  base::Millis delay = DecideAgainIn();
+  if (Now() + delay >= m_next_tick) {
+    return;
+  }
+  loop().Cancel(m_tick_timer);
+  m_next_tick = Now() + delay;
+  m_tick_timer = loop().After(delay, [this] { OnTick(); });
+}
+
+void PacketsTask::OnTick() {
+  m_next_tick = base::kNever;
+  Decide();
+  ArmTick();
+}
+
+void PacketsTask::NoteRevision(uint64_t theirs,
+                               uint64_t own,
+                               base::Address from) {
+  if (theirs > own) {
+    Post(config::kConfigService,
+         config::ConfigMessage(config::NewerRevision{theirs, from}));
+  }
+}
+
+void PacketsTask::StartLeaving() {
+  m_left_at = Now();
+  m_last_packet = Now();
+}
+
+void PacketsTask::EndIfQuiet(base::Millis quiet, base::Millis at_least) {
+  if (leaving() && Now() - m_left_at >= at_least &&
+      Now() - m_last_packet >= quiet) {
+    kernel::NotifyDrained();
+  }
+}
+
+}  // namespace filberthollow::passthrough
--- a/filberthollow/platform/http_object_store.cc
+++ b/filberthollow/platform/http_object_store.cc
@@ -12,7 +12,6 @@
 
 using nlohmann::json;
 
-constexpr std::string_view kObjectsPath = "/filberthollow/objects/";
 constexpr uint16_t kHttpGone = 410;
 constexpr uint16_t kHttpTooManyRequests = 429;
 
--- a/filberthollow/platform/http_object_store.h
+++ b/filberthollow/platform/http_object_store.h
@@ -15,12 +15,16 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "filberthollow/net/http_client.h"
 #include "filberthollow/platform/object_store.h"
 
 namespace filberthollow::platform {
 
+// kObjectsPath is the path below which the API's objects are.
+inline constexpr std::string_view kObjectsPath = "/filberthollow/objects/";
+
 // kOperatorPrefix names the objects that the platform's operator writes.
 inline constexpr const char* kOperatorPrefix = "operator/";
 inline constexpr const char* kOperatorConfig = "operator/main";
--- a/filberthollow/platform/node_settings.cc
+++ b/filberthollow/platform/node_settings.cc
@@ -79,6 +79,21 @@
     return base::Millis(static_cast<int64_t>(seconds * kMillisPerSecond));
   }
 
+  // A whole number of milliseconds.
+  base::Millis Number(std::string_view name, base::Millis fallback) {
+    std::string text = Text(name);
+    int64_t ms = 0;
+    if (text.empty()) {
+      return fallback;
+    }
+    auto [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), ms);
+    if (error != std::errc{}) {
+      Fail(name, text, "a number of milliseconds");
+    }
+    return base::Millis(ms);
+  }
+
   void Fail(std::string_view name,
             const std::string& found,
             const std::string& expected) {
@@ -128,6 +143,7 @@
 base::Result<passthrough::NodeFile> ParseNodeSettings(std::string_view text,
                                                       std::string_view source) {
   constexpr base::Millis kDefaultGrace{6000};
+  constexpr base::Millis kDefaultBeat{1000};
   constexpr base::Millis kDefaultLifetime{60'000};
   Lines lines(text, source);
   uint16_t peer_port = PeerPort(lines);
@@ -148,7 +164,8 @@
       .outbound = lines.OptionalAddress("listenAddresses.outbound"),
       .upstream = lines.OptionalAddress("app"),
       .announcements = lines.OptionalAddress("listenAddresses.control"),
-      .service = lines.Text("service")};
+      .service = lines.Text("service"),
+      .beat_interval = lines.Number("heartbeatMs", kDefaultBeat)};
   if (!lines.error().step.empty()) {
     return lines.error();
   }
--- a/filberthollow/platform/platform_test.cc
+++ b/filberthollow/platform/platform_test.cc
@@ -137,7 +137,8 @@
     "listenAddresses.ready=10.1.0.12:8167\n"
     "listenAddresses.control=10.1.0.12:8166\n"
     "internalPorts=7720,7735\nseeds=10.1.0.10:8166,10.2.0.40:8166\n"
-    "bootstrap=true\nbounds.graceS=6.5\napp=10.1.0.12:8165\nservice=desk\n"
+    "bootstrap=true\nheartbeatMs=770\nbounds.graceS=6.5\napp=10.1.0.12:"
+    "8165\nservice=desk\n"
     "platform.address=10.200.1.7:8169\nunknown.field=1\n";
 
 BOOST_AUTO_TEST_CASE(ReadsAnAgentsSettings) {
@@ -151,6 +152,7 @@
   BOOST_TEST(file->seeds.size() == 2U);
   BOOST_TEST(file->seeds.at(1).Text() == "10.2.0.40:7720");
   BOOST_TEST(file->first_start);
+  BOOST_TEST((file->beat_interval == base::Millis(770)));
   BOOST_TEST((file->stop_grace == base::Millis(6500)));
 }
 
--- a/filberthollow/standins/platform_task.cc
+++ b/filberthollow/standins/platform_task.cc
@@ -5,12 +5,14 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "filberthollow/platform/http_object_store.h"
+
 namespace filberthollow::standins {
 namespace {
 
 using nlohmann::json;
+using platform::kObjectsPath;
 
-constexpr std::string_view kObjectsPath = "/filberthollow/objects/";
 constexpr uint16_t kHttpCreated = 201;
 
 uint64_t NumberOf(const std::string& text) {
