Let three balancers bring news to each peer; pace hellos by the fleet's size

Cause: at 1,000 balancers each would have greeted 6,300 peers at each change (34 KB/s on average), and agents would have taken balancers that are heard of every 50 s for silent and reported to each of them every second. Change: rendezvous tellers, paced hellos, patience by the interval; tests.

--- a/filberthollow/decision/balancer_set.cc
+++ b/filberthollow/decision/balancer_set.cc
@@ -1,5 +1,9 @@
 #include "filberthollow/decision/balancer_set.h"
 
+#include <algorithm>
+
+#include "filberthollow/base/ids.h"
+
 namespace filberthollow::decision {
 
 bool BalancerSet::Add(base::Address balancer, base::Millis now) {
@@ -15,9 +19,15 @@
       .second;
 }
 
+bool BalancerSet::IsLively(const Entry& entry, base::Millis now) const {
+  base::Millis patience = std::max(kLivelyFor, m_interval * kMissedHellos);
+  return entry.heard && now - entry.heard_at < patience;
+}
+
 void BalancerSet::Forget(base::Millis now) {
-  std::erase_if(m_balancers, [now](const auto& item) {
-    return now - item.second.heard_at > kForgetAfter;
+  base::Millis patience = std::max(kForgetAfter, m_interval * kForgottenHellos);
+  std::erase_if(m_balancers, [=](const auto& item) {
+    return now - item.second.heard_at > patience;
   });
 }
 
@@ -33,15 +43,29 @@
 }
 
 std::vector<base::Address> BalancerSet::Lively(base::Millis now) const {
-  return Select([now](const Entry& entry) { return IsLively(entry, now); });
+  return Select(
+      [this, now](const Entry& entry) { return IsLively(entry, now); });
 }
 
 std::vector<base::Address> BalancerSet::Silent(base::Millis now) const {
-  return Select([now](const Entry& entry) { return !IsLively(entry, now); });
+  return Select(
+      [this, now](const Entry& entry) { return !IsLively(entry, now); });
+}
+
+bool BalancerSet::IsTeller(base::Address peer, base::Millis now) const {
+  auto rank = [peer](base::Address balancer) {
+    return base::HashWords({peer.ip, peer.port, balancer.ip, balancer.port});
+  };
+  uint64_t own = rank(m_self);
+  size_t better = 0;
+  for (base::Address balancer : Staying(now)) {
+    better += balancer != peer && rank(balancer) < own ? 1 : 0;
+  }
+  return better < kTellers;
 }
 
 std::vector<base::Address> BalancerSet::Staying(base::Millis now) const {
-  return Select([now](const Entry& entry) {
+  return Select([this, now](const Entry& entry) {
     return IsLively(entry, now) && !entry.leaving;
   });
 }
--- a/filberthollow/decision/balancer_set.h
+++ b/filberthollow/decision/balancer_set.h
@@ -17,16 +17,23 @@
 // BalancerSet belongs to one task.
 class BalancerSet {
  public:
-  // kLivelyFor: a balancer says hello every second; after a few were lost it
-  // counts as silent.
+  // A balancer counts as silent once kMissedHellos of its hellos are missing,
+  // and no sooner than kLivelyFor, so that a short cut does not send its
+  // neighbours searching.
   static constexpr base::Millis kLivelyFor{5000};
-  // kForgetAfter is when a silent balancer is dropped; one that comes back
-  // later is found again through the others.
+  static constexpr int64_t kMissedHellos = 3;
+  // A silent balancer is dropped after kForgottenHellos or kForgetAfter; one
+  // that comes back later is found again through the others.
   static constexpr base::Millis kForgetAfter{30'000};
+  static constexpr int64_t kForgottenHellos = 10;
 
   // `self` is never added.
   explicit BalancerSet(base::Address self) : m_self(self) {}
 
+  // SetHelloInterval tells how often balancers are expected to be heard of;
+  // the larger the fleet, the less often.
+  void SetHelloInterval(base::Millis interval) { m_interval = interval; }
+
   // Add takes a balancer that others have named; returns whether it is new.
   bool Add(base::Address balancer, base::Millis now);
   // Hear takes a sign of life; returns whether the balancer is new. A balancer
@@ -40,6 +47,11 @@
   std::vector<base::Address> Silent(base::Millis now) const;
   // Staying returns the lively ones that are not leaving.
   std::vector<base::Address> Staying(base::Millis now) const;
+  // IsTeller returns whether this balancer is one of the kTellers that bring
+  // news to `peer`. Balancers that know the same fleet agree on them, by
+  // rendezvous hashing; without it each peer would hear all news from all.
+  static constexpr size_t kTellers = 3;
+  bool IsTeller(base::Address peer, base::Millis now) const;
   size_t size() const { return m_balancers.size(); }
 
  private:
@@ -49,13 +61,12 @@
     bool leaving = false;
   };
 
-  static bool IsLively(const Entry& entry, base::Millis now) {
-    return entry.heard && now - entry.heard_at < kLivelyFor;
-  }
+  bool IsLively(const Entry& entry, base::Millis now) const;
   template <class Keep>
   std::vector<base::Address> Select(Keep keep) const;
 
   const base::Address m_self;
+  base::Millis m_interval{1000};
   std::map<base::Address, Entry> m_balancers;
 };
 
--- a/filberthollow/decision/balancer_set_test.cc
+++ b/filberthollow/decision/balancer_set_test.cc
@@ -37,6 +37,34 @@
   BOOST_TEST(set.Staying(Millis(1000)).empty());
 }
 
+// In a fleet of a thousand balancers one is heard of every 50 s.
+BOOST_AUTO_TEST_CASE(InALargeFleetSilenceTakesLonger) {
+  BalancerSet set(kSelf);
+  set.SetHelloInterval(Millis(50'000));
+  set.Hear(kOther, false, Millis(0));
+  set.Forget(Millis(100'000));
+  BOOST_TEST(set.Lively(Millis(100'000)).size() == 1U);
+  BOOST_TEST(set.Lively(Millis(150'000)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(EachPeerIsToldNewsByAFewBalancers) {
+  constexpr uint32_t kFleet = 50;
+  constexpr Address kPeer{1000, 10};
+  size_t tellers = 0;
+  for (uint32_t own = 1; own <= kFleet; ++own) {
+    BalancerSet set(Address{own, 10});
+    for (uint32_t other = 1; other <= kFleet; ++other) {
+      set.Hear({other, 10}, false, Millis(0));
+    }
+    tellers += set.IsTeller(kPeer, Millis(0)) ? 1 : 0;
+  }
+  BOOST_TEST(tellers == BalancerSet::kTellers);
+}
+
+BOOST_AUTO_TEST_CASE(ALoneBalancerTellsEverybody) {
+  BOOST_TEST(BalancerSet(kSelf).IsTeller(kOther, Millis(0)));
+}
+
 BOOST_AUTO_TEST_CASE(ASilentBalancerIsForgotten) {
   BalancerSet set(kSelf);
   set.Add(kOther, Millis(0));
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -7,6 +7,7 @@
 
 #include "filberthollow/base/log.h"
 #include "filberthollow/config/config_messages.h"
+#include "filberthollow/passthrough/balancer_task.h"
 
 namespace filberthollow::passthrough {
 namespace {
@@ -14,8 +15,6 @@
 using base::Level;
 using decision::UpstreamState;
 
-constexpr int64_t kMillisPerSecond = 1000;
-
 constexpr std::array<std::string_view, 4> kStateNames{"unknown", "ready",
                                                       "draining", "gone"};
 
@@ -244,13 +243,10 @@
   }
 }
 
-base::Millis AgentTask::ReportInterval() const {
-  int64_t bytes = static_cast<int64_t>(m_balancers.size()) * kReportBytes;
-  return std::max(kReportInterval, base::Millis(bytes * kMillisPerSecond /
-                                                kControlBytesPerSecond));
-}
-
 void AgentTask::OnReportTimer() {
+  // Balancers answer reports, so they are heard of as often.
+  m_balancers.SetHelloInterval(
+      std::max(ReportInterval(), BalancerTask::kHelloInterval));
   loop().After(ReportInterval(), [this] { OnReportTimer(); });
   ReportToLively();
 }
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -25,11 +25,6 @@
   // balancers place flows by loads of that age and miss a dead host after
   // three.
   static constexpr base::Millis kReportInterval{200};
-  // kReportBytes is the length of a report with its headers.
-  static constexpr int64_t kReportBytes = 150;
-  // kControlBytesPerSecond bounds the reports: it is what one host may spend
-  // on control at the size designed for.
-  static constexpr int64_t kControlBytesPerSecond = 3000;
   // kSearchInterval is the time between reports to silent balancers.
   static constexpr base::Millis kSearchInterval{1000};
   // kFirstSearchInterval is the same while no balancer is known to live: after
@@ -83,7 +78,9 @@
   void OnReportTimer();
   void OnSearchTimer();
   void ArmSearch();
-  base::Millis ReportInterval() const;
+  base::Millis ReportInterval() const {
+    return PacedInterval(m_balancers.size(), kReportInterval);
+  }
   void SendReports(const std::vector<base::Address>& balancers);
   void ReportToLively() { SendReports(m_balancers.Lively(Now())); }
 
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -35,7 +35,7 @@
 void BalancerTask::Handle(const RoutesChanged& m) {
   m_router.SetRoutes(m.routes);
   CheckReadiness();
-  SendHellos();
+  SpreadNews();
 }
 
 void BalancerTask::Handle(const PeersFound& m) {
@@ -49,7 +49,7 @@
 void BalancerTask::Handle(const LeaveFleet& /*m*/) {
   StartLeaving();
   CheckReadiness();
-  SendHellos();
+  SayGoodbye();
 }
 
 void BalancerTask::Handle(const admin::ReportQuery& m) {
@@ -124,7 +124,8 @@
                               base::Address from) {
   NoteRevision(m.revision, m_router.revision(), from);
   if (m_balancers.Hear(from, m.leaving, Now())) {
-    SendHellos();  // agents are to report to it from now on
+    SendHello(from);
+    SpreadNews();  // agents are to report to it from now on
   }
   Handle(PeersFound{m.balancers});
 }
@@ -211,7 +212,9 @@
 }
 
 void BalancerTask::OnHelloTimer() {
-  loop().After(kHelloInterval, [this] { OnHelloTimer(); });
+  base::Millis interval = PacedInterval(m_balancers.size(), kHelloInterval);
+  m_balancers.SetHelloInterval(interval);
+  loop().After(interval, [this] { OnHelloTimer(); });
   m_balancers.Forget(Now());
   GreetBalancers();
 }
@@ -232,12 +235,22 @@
              to);
 }
 
-void BalancerTask::SendHellos() {
+void BalancerTask::SayGoodbye() {
   GreetBalancers();
   for (base::Address agent : m_router.Agents()) {
-    m_greeted[agent] = Now();
     SendHello(agent);
   }
 }
 
+void BalancerTask::SpreadNews() {
+  for (const auto& group : {m_router.Agents(), m_balancers.Lively(Now()),
+                            m_balancers.Silent(Now())}) {
+    for (base::Address peer : group) {
+      if (m_balancers.IsTeller(peer, Now())) {
+        SendHello(peer);
+      }
+    }
+  }
+}
+
 }  // namespace filberthollow::passthrough
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -21,8 +21,8 @@
 
 class BalancerTask final : public PacketsTask {
  public:
-  // kHelloInterval is the time between hellos; a balancer that starts is known
-  // to all within it.
+  // kHelloInterval is the shortest time between hellos to one peer; a balancer
+  // that starts is known to all within it.
   static constexpr base::Millis kHelloInterval{1000};
   // kLeaveAtLeast: the fabric asks for readiness twice a second and sends
   // packets on until the second refusal.
@@ -70,9 +70,12 @@
   void ActOn(const decision::AgentSilence& note);
   void OnHelloTimer();
   void SendHello(base::Address to);
-  // Tells every agent and balancer at once.
-  void SendHellos();
+  // Greets every balancer.
   void GreetBalancers();
+  // Tells every agent and balancer at once that this one leaves.
+  void SayGoodbye();
+  // Tells news to the agents and balancers that hear them from this one.
+  void SpreadNews();
   void CheckReadiness();
 
   std::shared_ptr<net::UdpSocket> m_callers;
--- a/filberthollow/passthrough/packets_task.cc
+++ b/filberthollow/passthrough/packets_task.cc
@@ -1,5 +1,6 @@
 #include "filberthollow/passthrough/packets_task.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "filberthollow/base/log.h"
@@ -9,6 +10,12 @@
 
 using base::Level;
 
+namespace {
+
+constexpr int64_t kMillisPerSecond = 1000;
+
+}  // namespace
+
 PacketsTask::PacketsTask(const base::Clock& clock,
                          kernel::Registry& registry,
                          const NodeFile& file,
@@ -91,6 +98,12 @@
   ArmTick();
 }
 
+base::Millis PacketsTask::PacedInterval(size_t peers, base::Millis shortest) {
+  int64_t bytes = static_cast<int64_t>(peers) * kControlMessageBytes;
+  return std::max(shortest, base::Millis(bytes * kMillisPerSecond /
+                                         kControlBytesPerSecond));
+}
+
 void PacketsTask::NoteRevision(uint64_t theirs,
                                uint64_t own,
                                base::Address from) {
--- a/filberthollow/passthrough/packets_task.h
+++ b/filberthollow/passthrough/packets_task.h
@@ -20,6 +20,13 @@
 namespace filberthollow::passthrough {
 
 class PacketsTask : public net::LoopTask<PacketsMessage> {
+ public:
+  // kControlBytesPerSecond bounds reports, and hellos to balancers: it is what
+  // one host may spend on control at the size designed for.
+  static constexpr int64_t kControlBytesPerSecond = 3000;
+  // kControlMessageBytes is the length of a report or hello with its headers.
+  static constexpr int64_t kControlMessageBytes = 150;
+
  protected:
   PacketsTask(const base::Clock& clock,
               kernel::Registry& registry,
@@ -51,6 +58,9 @@
                  uint64_t revision);
   // Brings the next tick forward, if that has become due earlier.
   void ArmTick();
+  // Returns how often a message may go to each of `peers` so that all of them
+  // together stay within kControlBytesPerSecond, and at least `shortest`.
+  static base::Millis PacedInterval(size_t peers, base::Millis shortest);
   // Tells the config service of a newer configuration at a peer.
   void NoteRevision(uint64_t theirs, uint64_t own, base::Address from);
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -39,7 +39,8 @@
 HEARTBEATS_A_SECOND = 3.0   # Observer::kMaxHeartbeatRate
 DATA_CENTRE = TARGETS // 8
 OUTAGE_SECONDS = 12
-REPORT_WIRE_BYTES = 150     # AgentTask::kReportBytes
+TELLERS = 3                 # BalancerSet::kTellers
+REPORT_WIRE_BYTES = 150     # PacketsTask::kControlMessageBytes
 LIMITS = {"control": 3000, "memory": 256e6, "core": 4.6,
           "writes": 400, "reads": 2000, "in_force": 11}
 
@@ -419,6 +420,10 @@
     interval = max(0.2, NODES * REPORT_WIRE_BYTES / LIMITS["control"])
     heard = TARGETS / interval * REPORT_WIRE_BYTES
     silence = 3 * interval
+    # News: changes of configuration, and balancers that start.
+    news_a_day = CHANGES_A_DAY + RESTARTS_A_DAY * NODES / (NODES + TARGETS)
+    news = ((NODES + TARGETS) * TELLERS / NODES * REPORT_WIRE_BYTES *
+            news_a_day / DAY)
     return [
         row("balancer, passed through", "memory of agents and flows",
             "a cache of flows, which may be lost at any time; one record an agent",
@@ -437,6 +442,12 @@
             "to every balancer, paced by a budget of bytes",
             f"{report:.0f} B a report, {REPORT_WIRE_BYTES} B on the wire",
             f"one in {interval:.0f} s to each balancer", "3,000 B/s", True),
+        row("balancer, passed through", "hellos sent",
+            "to every other balancer, paced by a budget of bytes; news at once "
+            "to the peers of which it is one of three tellers",
+            f"{REPORT_WIRE_BYTES} B a hello",
+            f"one in {interval:.0f} s to each; news {news:.0f} B/s",
+            "3,000 B/s", news <= LIMITS["control"]),
         row("balancer, passed through", "reports heard",
             "from every agent", f"{REPORT_WIRE_BYTES} B a report",
             f"{heard:.0f} B/s", "3,000 B/s", heard <= LIMITS["control"]),
