--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -216,6 +216,9 @@
   m_balancers.SetHelloInterval(interval);
   loop().After(interval, [this] { OnHelloTimer(); });
   m_balancers.Forget(Now());
+  std::erase_if(m_greeted, [this](const auto& entry) {
+    return Now() - entry.second > decision::FlowRouter::kForgetAgent;
+  });
   GreetBalancers();
 }
 
