--- a/filberthollow/decision/upstream_gate_test.cc
+++ b/filberthollow/decision/upstream_gate_test.cc
@@ -165,7 +165,7 @@
   Hear(Beat(1));
   GateActions back = Forward(Data(101, 500));
   BOOST_TEST(Only<ToUpstream>(back).empty());
-  const FlowAnswer& answer = Only<AnswerBalancer>(back).at(0).answer;
+  FlowAnswer answer = Only<AnswerBalancer>(back).at(0).answer;
   BOOST_TEST((answer.holding == Holding::kNotHeld));
   BOOST_TEST(answer.packet == "p");
 }
