Report at once to a balancer that has just started

Ruled out: leaving balancers (the resets came from ones that had restarted). Change: hellos carry a run; who hears a new run tells the agents, which report to the newcomer at once; flows are called lost only after three of the longest report intervals. Tests ANewRunIsNews, InALargeFleetABalancerIsCertainLater.

--- a/filberthollow/decision/balancer_set.cc
+++ b/filberthollow/decision/balancer_set.cc
@@ -11,12 +11,18 @@
          m_balancers.try_emplace(balancer, Entry{.heard_at = now}).second;
 }
 
-bool BalancerSet::Hear(base::Address balancer, bool leaving, base::Millis now) {
+bool BalancerSet::Hear(base::Address balancer,
+                       uint64_t run,
+                       bool leaving,
+                       base::Millis now) {
   if (balancer == m_self) {
     return false;
   }
-  return m_balancers.insert_or_assign(balancer, Entry{now, true, leaving})
-      .second;
+  auto [found, added] = m_balancers.try_emplace(balancer);
+  bool news = added || !found->second.heard || found->second.run != run;
+  found->second = {
+      .heard_at = now, .run = run, .heard = true, .leaving = leaving};
+  return news;
 }
 
 bool BalancerSet::IsLively(const Entry& entry, base::Millis now) const {
--- a/filberthollow/decision/balancer_set.h
+++ b/filberthollow/decision/balancer_set.h
@@ -36,9 +36,12 @@
 
   // Add takes a balancer that others have named; returns whether it is new.
   bool Add(base::Address balancer, base::Millis now);
-  // Hear takes a sign of life; returns whether the balancer is new. A balancer
-  // that is leaving still serves and is to be told everything.
-  bool Hear(base::Address balancer, bool leaving, base::Millis now);
+  // Hear takes a sign of life; returns whether the balancer, or its run, is
+  // new. A balancer that is leaving still serves and is to be told everything.
+  bool Hear(base::Address balancer,
+            uint64_t run,
+            bool leaving,
+            base::Millis now);
   // Forget drops those that were silent for too long.
   void Forget(base::Millis now);
 
@@ -57,6 +60,7 @@
  private:
   struct Entry {
     base::Millis heard_at;
+    uint64_t run = 0;
     bool heard = false;
     bool leaving = false;
   };
--- a/filberthollow/decision/balancer_set_test.cc
+++ b/filberthollow/decision/balancer_set_test.cc
@@ -10,11 +10,12 @@
 
 constexpr Address kSelf{1, 10};
 constexpr Address kOther{2, 10};
+constexpr uint64_t kRun = 7;
 
 BOOST_AUTO_TEST_CASE(ItselfIsNeverAdded) {
   BalancerSet set(kSelf);
   BOOST_TEST(!set.Add(kSelf, Millis(0)));
-  BOOST_TEST(!set.Hear(kSelf, false, Millis(0)));
+  BOOST_TEST(!set.Hear(kSelf, kRun, false, Millis(0)));
   BOOST_TEST(set.size() == 0U);
 }
 
@@ -23,7 +24,8 @@
   BOOST_TEST(set.Add(kOther, Millis(0)));
   BOOST_TEST(set.Lively(Millis(0)).empty());
   BOOST_TEST(set.Silent(Millis(0)).size() == 1U);
-  BOOST_TEST(!set.Hear(kOther, false, Millis(10)));
+  BOOST_TEST(set.Hear(kOther, kRun, false, Millis(10)));
+  BOOST_TEST(!set.Hear(kOther, kRun, false, Millis(10)));
   BOOST_TEST(set.Lively(Millis(10)).size() == 1U);
   BOOST_TEST(set.Lively(Millis(10) + BalancerSet::kLivelyFor).empty());
 }
@@ -32,16 +34,25 @@
 // reports took every agent for lost and reset open flows.
 BOOST_AUTO_TEST_CASE(ALeavingBalancerIsStillTold) {
   BalancerSet set(kSelf);
-  set.Hear(kOther, true, Millis(0));
+  set.Hear(kOther, kRun, true, Millis(0));
   BOOST_TEST(set.Lively(Millis(1000)).size() == 1U);
   BOOST_TEST(set.Staying(Millis(1000)).empty());
 }
 
+// A balancer that restarts at its address knows no agents; with reports a
+// second apart it reset open flows whose agents it had not heard of.
+BOOST_AUTO_TEST_CASE(ANewRunIsNews) {
+  BalancerSet set(kSelf);
+  set.Hear(kOther, kRun, false, Millis(0));
+  BOOST_TEST(!set.Hear(kOther, kRun, true, Millis(1)));
+  BOOST_TEST(set.Hear(kOther, kRun + 1, false, Millis(2)));
+}
+
 // In a fleet of a thousand balancers one is heard of every 50 s.
 BOOST_AUTO_TEST_CASE(InALargeFleetSilenceTakesLonger) {
   BalancerSet set(kSelf);
   set.SetHelloInterval(Millis(50'000));
-  set.Hear(kOther, false, Millis(0));
+  set.Hear(kOther, kRun, false, Millis(0));
   set.Forget(Millis(100'000));
   BOOST_TEST(set.Lively(Millis(100'000)).size() == 1U);
   BOOST_TEST(set.Lively(Millis(150'000)).empty());
@@ -54,7 +65,7 @@
   for (uint32_t own = 1; own <= kFleet; ++own) {
     BalancerSet set(Address{own, 10});
     for (uint32_t other = 1; other <= kFleet; ++other) {
-      set.Hear({other, 10}, false, Millis(0));
+      set.Hear({other, 10}, kRun, false, Millis(0));
     }
     tellers += set.IsTeller(kPeer, Millis(0)) ? 1 : 0;
   }
--- a/filberthollow/decision/flow_router.cc
+++ b/filberthollow/decision/flow_router.cc
@@ -24,6 +24,11 @@
          (m_isolated && !WasHeardLately(agent, now));
 }
 
+bool FlowRouter::KnowsAllAgents(base::Millis now) const {
+  return now - m_started >
+         std::max(kCertainAfter, m_longest_interval * kCertainReports);
+}
+
 bool FlowRouter::WasHeardLately(const Agent& agent, base::Millis now) {
   base::Millis patience =
       std::max(kIsolatedAfter, agent.report.interval * kIsolatedReports);
@@ -63,6 +68,7 @@
 void FlowRouter::OnReport(const UpstreamReport& report,
                           base::Address agent,
                           base::Millis now) {
+  m_longest_interval = std::max(m_longest_interval, report.interval);
   bool silent = m_agents[agent].silent;
   m_agents[agent] = Agent{
       .report = report, .heard_at = now, .load_at = now, .silent = silent};
@@ -355,7 +361,7 @@
   }
   const CompiledRoute* route = m_routes->Find(ends.route);
   bool repeatable = route != nullptr && route->idempotent;
-  bool certain = now - m_started > kCertainAfter && !guessed &&
+  bool certain = KnowsAllAgents(now) && !guessed &&
                  (all_answered || (silent_only && repeatable));
   if (certain && search.wants_answer) {
     actions.emplace_back(
--- a/filberthollow/decision/flow_router.h
+++ b/filberthollow/decision/flow_router.h
@@ -133,8 +133,10 @@
   static constexpr base::Millis kForgetAgent{30'000};
   // kCertainAfter: a balancer that has just started may not have heard of all
   // agents. Until then it calls no flow lost, and new flows wait for an agent;
-  // after it, their callers still have time to try elsewhere.
+  // after it, their callers still have time to try elsewhere. In large fleets
+  // reports come less often, so no flow is called lost for kCertainReports.
   static constexpr base::Millis kCertainAfter{1000};
+  static constexpr int64_t kCertainReports = 3;
   // kMaxTickGap: after a longer gap between ticks this process was paused.
   static constexpr base::Millis kMaxTickGap{350};
   static constexpr base::Millis kBusyTick{20};
@@ -260,6 +262,8 @@
                 base::Address agent,
                 base::Millis now);
   bool IsSilent(const Agent& agent, base::Millis now) const;
+  // Returns whether all agents must have been heard of.
+  bool KnowsAllAgents(base::Millis now) const;
   static bool WasHeardLately(const Agent& agent, base::Millis now);
   void CheckIsolation(base::Millis now);
   void NoteSilence(base::Millis now, RouterActions& actions);
@@ -277,7 +281,8 @@
   ByFlow<Offer> m_offers;
   ByFlow<Search> m_searches;
   base::Millis m_last_tick;
-  bool m_isolated = false;  // cut off from most agents
+  base::Millis m_longest_interval{0};  // between the reports of any agent
+  bool m_isolated = false;             // cut off from most agents
   base::Millis m_next_sweep{0};
 };
 
--- a/filberthollow/decision/flow_router_test.cc
+++ b/filberthollow/decision/flow_router_test.cc
@@ -196,6 +196,17 @@
   BOOST_TEST(Only<ResetCaller>(Answer(kFirst, Holding::kNotHeld)).empty());
 }
 
+// With reports 1.2 s apart, a second after the start some agents are unknown.
+BOOST_FIXTURE_TEST_CASE(InALargeFleetABalancerIsCertainLater, Fixture) {
+  Settle({});
+  router.OnReport({.service = testing::kDesk,
+                   .state = UpstreamState::kReady,
+                   .interval = Millis(1200)},
+                  kFirst, now);
+  FromCaller(Data(101, 500));
+  BOOST_TEST(Only<ResetCaller>(Answer(kFirst, Holding::kNotHeld)).empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(WhoIsUnsureIsAskedByAGuess, Fixture) {
   Settle({kFirst, kSecond});
   FromCaller(Data(101, 500));
--- a/filberthollow/decision/packet_messages.h
+++ b/filberthollow/decision/packet_messages.h
@@ -67,8 +67,11 @@
 // BalancerHello tells an agent or balancer that a balancer is there.
 struct BalancerHello {
   uint64_t revision = 0;  // of the configuration in force at the balancer
+  uint64_t run = 0;       // names one run of the balancer
   bool leaving = false;
   std::vector<base::Address> balancers;  // others that it knows
+  // A balancer that has just started and has yet to hear of all agents.
+  base::Address newcomer;
   friend bool operator==(const BalancerHello&, const BalancerHello&) = default;
 };
 
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -152,7 +152,13 @@
 void AgentTask::HandlePeer(const decision::BalancerHello& m,
                            base::Address from) {
   NoteRevision(m.revision, m_gate.revision(), from);
-  m_balancers.Hear(from, m.leaving, Now());
+  if (m_balancers.Hear(from, m.run, m.leaving, Now())) {
+    SendReports({from});
+  }
+  if (m.newcomer != base::Address{}) {
+    m_balancers.Add(m.newcomer, Now());
+    SendReports({m.newcomer});
+  }
   Handle(PeersFound{m.balancers});
 }
 
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -123,9 +123,9 @@
 void BalancerTask::HandlePeer(const decision::BalancerHello& m,
                               base::Address from) {
   NoteRevision(m.revision, m_router.revision(), from);
-  if (m_balancers.Hear(from, m.leaving, Now())) {
+  if (m_balancers.Hear(from, m.run, m.leaving, Now())) {
     SendHello(from);
-    SpreadNews();  // agents are to report to it from now on
+    SpreadNews(from);  // agents are to report to it at once
   }
   Handle(PeersFound{m.balancers});
 }
@@ -231,10 +231,12 @@
   }
 }
 
-void BalancerTask::SendHello(base::Address to) {
+void BalancerTask::SendHello(base::Address to, base::Address newcomer) {
   SendToPeer(decision::BalancerHello{.revision = m_router.revision(),
+                                     .run = m_run,
                                      .leaving = leaving(),
-                                     .balancers = m_balancers.Staying(Now())},
+                                     .balancers = m_balancers.Staying(Now()),
+                                     .newcomer = newcomer},
              to);
 }
 
@@ -245,12 +247,12 @@
   }
 }
 
-void BalancerTask::SpreadNews() {
+void BalancerTask::SpreadNews(base::Address newcomer) {
   for (const auto& group : {m_router.Agents(), m_balancers.Lively(Now()),
                             m_balancers.Silent(Now())}) {
     for (base::Address peer : group) {
       if (m_balancers.IsTeller(peer, Now())) {
-        SendHello(peer);
+        SendHello(peer, newcomer);
       }
     }
   }
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <random>
 #include <string_view>
 
 #include "filberthollow/decision/flow_router.h"
@@ -69,19 +70,21 @@
   void ActOn(const decision::FlowFound& note);
   void ActOn(const decision::AgentSilence& note);
   void OnHelloTimer();
-  void SendHello(base::Address to);
+  void SendHello(base::Address to, base::Address newcomer = {});
   // Greets every balancer.
   void GreetBalancers();
   // Tells every agent and balancer at once that this one leaves.
   void SayGoodbye();
-  // Tells news to the agents and balancers that hear them from this one.
-  void SpreadNews();
+  // Tells news to the agents and balancers that hear them from this one: a
+  // configuration, or a balancer that has just started.
+  void SpreadNews(base::Address newcomer = {});
   void CheckReadiness();
 
   std::shared_ptr<net::UdpSocket> m_callers;
   decision::FlowRouter m_router;
   decision::RouterActions m_actions;
   std::map<base::Address, base::Millis> m_greeted;  // agents
+  const uint64_t m_run = std::random_device{}();
   bool m_ready = false;
 };
 
--- a/filberthollow/wire/packet_codec.cc
+++ b/filberthollow/wire/packet_codec.cc
@@ -132,6 +132,9 @@
   auto out = message.initHello();
   out.setRevision(m.revision);
   out.setLeaving(m.leaving);
+  out.setRun(m.run);
+  out.setNewcomerIp(m.newcomer.ip);
+  out.setNewcomerPort(m.newcomer.port);
   auto count =
       static_cast<uint32_t>(std::min(m.balancers.size(), kMaxHelloBalancers));
   auto ips = out.initBalancerIps(count);
@@ -148,7 +151,10 @@
   if (ips.size() != ports.size() || ips.size() > kMaxHelloBalancers) {
     return false;
   }
-  BalancerHello hello{.revision = in.getRevision(), .leaving = in.getLeaving()};
+  BalancerHello hello{.revision = in.getRevision(),
+                      .run = in.getRun(),
+                      .leaving = in.getLeaving(),
+                      .newcomer = {in.getNewcomerIp(), in.getNewcomerPort()}};
   for (uint32_t i = 0; i < ips.size(); ++i) {
     hello.balancers.push_back({ips[i], ports[i]});
   }
--- a/filberthollow/wire/packets.capnp
+++ b/filberthollow/wire/packets.capnp
@@ -55,6 +55,9 @@
   leaving @1 :Bool;
   balancerIps @2 :List(UInt32);
   balancerPorts @3 :List(UInt16);
+  run @4 :UInt64;
+  newcomerIp @5 :UInt32;
+  newcomerPort @6 :UInt16;
 }
 
 struct PacketMessage {
