--- /dev/null
+++ b/filberthollow/wire/packet_codec_test.cc
@@ -0,0 +1,81 @@
+#include "filberthollow/wire/packet_codec.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <vector>
+
+namespace filberthollow::wire {
+namespace {
+
+constexpr flow::FlowEnds kFlow{{0x64400007, 40001}, {0xc6120001, 443}};
+constexpr decision::UpstreamLoad kLoad{.slots = 4,
+                                       .busy = 3,
+                                       .open = 70,
+                                       .busy_mean = 250,
+                                       .cold_ms = 900};
+
+std::vector<PacketMessage> Samples() {
+  return {decision::Forward{.revision = 9, .guess = true, .packet = "\0packet"},
+          decision::Locate{kFlow, 0xfffffff0},
+          decision::FlowAnswer{.flow = kFlow,
+                               .holding = decision::Holding::kRefused,
+                               .reason = flow::Reason::kUpstreamRefused,
+                               .load = kLoad,
+                               .packet = "handed back"},
+          decision::UpstreamReport{.service = base::ServiceId{7},
+                                   .data_centre = 8,
+                                   .run = 9,
+                                   .state = decision::UpstreamState::kDraining,
+                                   .silent = true,
+                                   .load = kLoad,
+                                   .revision = 11,
+                                   .interval = base::Millis(200)},
+          decision::BalancerHello{.revision = 11,
+                                  .run = 12,
+                                  .leaving = true,
+                                  .balancers = {{1, 2}, {3, 4}},
+                                  .newcomer = {5, 6}}};
+}
+
+BOOST_AUTO_TEST_CASE(EachMessageIsReadAsItWasWritten) {
+  for (const PacketMessage& sample : Samples()) {
+    auto read = DecodePacketMessage(EncodePacketMessage(sample));
+    BOOST_REQUIRE(static_cast<bool>(read));
+    BOOST_TEST((*read == sample));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ALongListOfBalancersIsCut) {
+  decision::BalancerHello hello;
+  hello.balancers.resize(1000, {1, 2});
+  auto read = DecodePacketMessage(EncodePacketMessage(hello));
+  BOOST_REQUIRE(static_cast<bool>(read));
+  BOOST_TEST(std::get<decision::BalancerHello>(*read).balancers.size() ==
+             kMaxHelloBalancers);
+}
+
+BOOST_AUTO_TEST_CASE(DamagedBytesDoNoHarm) {
+  constexpr int kFlips = 4000;
+  std::mt19937 random(7);
+  for (const PacketMessage& sample : Samples()) {
+    const std::string good = EncodePacketMessage(sample);
+    for (int i = 0; i < kFlips; ++i) {
+      std::string bytes = good;
+      bytes[random() % bytes.size()] ^= static_cast<char>(1 + random() % 255);
+      bytes.resize(random() % 8 == 0 ? random() % bytes.size() : bytes.size());
+      // Whatever is still a message can be written again.
+      if (auto read = DecodePacketMessage(bytes)) {
+        BOOST_TEST(!EncodePacketMessage(*read).empty());
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(UnknownNumbersAreRefused) {
+  auto refused = DecodePacketMessage(EncodePacketMessage(decision::FlowAnswer{
+      .flow = kFlow, .holding = static_cast<decision::Holding>(9)}));
+  BOOST_TEST(!refused);
+}
+
+}  // namespace
+}  // namespace filberthollow::wire
