Wait until the balancer is entered before losing an operator's answer

A balancer enters itself at the platform after it has logged that it listens; on a slow start that write took the fault meant for the operator's. Ruled out: the operator's command (its write was answered). Change: the test waits for the balancer's /healthz, which follows its entry.

--- a/filberthollow/testing/faults_fleet_test.py
+++ b/filberthollow/testing/faults_fleet_test.py
@@ -151,6 +151,9 @@
     def test_a_lost_answer_of_a_write_is_found_out(self):
         with Fleet(TREE) as f:
             f.add_balancers(1)
+            # The balancer enters itself at the platform after it listens; that
+            # write would take the fault that is meant for the operator's.
+            wait_until(f.balancers[0].healthy, 20, "the balancer is entered")
             f.faults(lose_answers=1)
             done = f.operator("--json", "set", "/desk", "slots", "9")
             report = json.loads(done.stdout)
