Activate a published key also when its timer fires a millisecond early

Cause: PublishKeys looked at the calendar clock twice. The timer runs on the monotonic clock and may fire when the calendar clock, in whole milliseconds, still reads one below the activation. At() then left the key inactive, and NextActivation(now), asked a moment later when the key counted as active, named no further activation: the key never signed. In FleetConfigTask the timer was not armed again at all when nothing had changed.

Change: KeyRing::NextActivation() goes by the signing key instead of a time, so a key that is not yet signing always has an activation ahead. Both tasks arm the timer through config::KeyActivation, one copy of what was there twice.

Test: key_activation_test with a scripted calendar clock; with the former reading of the clock, 3 of its 5 checks failed (the early timer, the clock set back, the clock set forward), all 5 pass now.

--- a/filberthollow/config/agent_config_task.cc
+++ b/filberthollow/config/agent_config_task.cc
@@ -19,7 +19,11 @@
       m_backoff(FleetConfigTask::kFirstRetry,
                 FleetConfigTask::kLongestRetry,
                 seed),
-      m_random(seed) {}
+      m_random(seed),
+      m_activation(loop(), &base::WallMillis, [this](base::Millis wall_now) {
+        m_keys = m_keys.At(wall_now);
+        PublishKeys();
+      }) {}
 
 void AgentConfigTask::OnStart() {
   ReadKeys();
@@ -76,14 +80,7 @@
 
 void AgentConfigTask::PublishKeys() {
   m_listeners.on_keys(m_keys);
-  base::Millis now = base::WallMillis();
-  base::Millis next = m_keys.NextActivation(now);
-  if (next < base::kNever) {
-    loop().After(next - now, [this] {
-      m_keys = m_keys.At(base::WallMillis());
-      PublishKeys();
-    });
-  }
+  m_activation.Arm(m_keys);
 }
 
 void AgentConfigTask::ListBalancers() {
--- a/filberthollow/config/agent_config_task.h
+++ b/filberthollow/config/agent_config_task.h
@@ -5,6 +5,7 @@
 #define FILBERTHOLLOW_CONFIG_AGENT_CONFIG_TASK_H_
 
 #include "filberthollow/config/fleet_config_task.h"
+#include "filberthollow/config/key_activation.h"
 #include "filberthollow/platform/http_object_store.h"
 
 namespace filberthollow::config {
@@ -33,7 +34,7 @@
   void Handle(const ObjectsFound& /*m*/) {}
   void Handle(const admin::ReportQuery& m);
   void ReadKeys();
-  // Publishes the keys again when the next one becomes active.
+  // Publishes the keys, and again when the next one becomes active.
   void PublishKeys();
   void ListBalancers();
 
@@ -43,6 +44,7 @@
   Backoff m_backoff;
   std::mt19937_64 m_random;
   flow::KeyRing m_keys;
+  KeyActivation m_activation;
   bool m_reading = false;
   bool m_listing = false;
   metrics::Metrics m_metrics;
--- a/filberthollow/config/config.cc
+++ b/filberthollow/config/config.cc
@@ -165,10 +165,8 @@
   return base::Done{};  // an object of a newer release
 }
 
-bool ConfigState::ActivateKeys(base::Millis wall_now) {
-  uint32_t before = m_keys.signing_epoch();
+void ConfigState::ActivateKeys(base::Millis wall_now) {
   m_keys = m_keys.At(wall_now);
-  return m_keys.signing_epoch() != before;
 }
 
 ConfigChange ConfigState::Apply(
--- a/filberthollow/config/config.h
+++ b/filberthollow/config/config.h
@@ -75,9 +75,8 @@
   // are not among them have been deleted since.
   ConfigChange ApplyAll(std::vector<platform::StoredObject> objects,
                         uint64_t revision);
-  // ActivateKeys brings the keys up to the calendar time; returns whether the
-  // signing key changed.
-  bool ActivateKeys(base::Millis wall_now);
+  // ActivateKeys brings the keys up to the calendar time.
+  void ActivateKeys(base::Millis wall_now);
 
   TreePtr tree() const { return m_tree; }
   const flow::KeyRing& keys() const { return m_keys; }
--- a/filberthollow/config/fleet_config_task.cc
+++ b/filberthollow/config/fleet_config_task.cc
@@ -21,7 +21,11 @@
       m_listeners(std::move(listeners)),
       m_watch_backoff(kFirstRetry, kLongestRetry, m_options.seed),
       m_register_backoff(kFirstRetry, kLongestRetry, m_options.seed + 1),
-      m_state(m_options.read_snapshot) {}
+      m_state(m_options.read_snapshot),
+      m_activation(loop(), &base::WallMillis, [this](base::Millis wall_now) {
+        m_state.ActivateKeys(wall_now);
+        PublishKeys();
+      }) {}
 
 void FleetConfigTask::OnStart() {
   if (m_options.watches) {
@@ -116,15 +120,7 @@
 
 void FleetConfigTask::PublishKeys() {
   m_listeners.on_keys(m_state.keys());
-  base::Millis now = base::WallMillis();
-  base::Millis next = m_state.keys().NextActivation(now);
-  if (next < base::kNever) {
-    loop().After(next - now, [this] {
-      if (m_state.ActivateKeys(base::WallMillis())) {
-        PublishKeys();
-      }
-    });
-  }
+  m_activation.Arm(m_state.keys());
 }
 
 void FleetConfigTask::Register(uint64_t if_version) {
--- a/filberthollow/config/fleet_config_task.h
+++ b/filberthollow/config/fleet_config_task.h
@@ -17,6 +17,7 @@
 #include "filberthollow/config/bootstrap.h"
 #include "filberthollow/config/config.h"
 #include "filberthollow/config/config_messages.h"
+#include "filberthollow/config/key_activation.h"
 #include "filberthollow/metrics/metrics.h"
 #include "filberthollow/net/http_client.h"
 #include "filberthollow/net/loop_task.h"
@@ -73,7 +74,7 @@
   void Watch(base::Millis wait);
   void OnWatched(const base::Result<platform::WatchAnswer>& answer);
   void Publish(const ConfigChange& change);
-  // Publishes the keys again when the next one becomes active.
+  // Publishes the keys, and again when the next one becomes active.
   void PublishKeys();
   void Register(uint64_t if_version);
   void ListPeers();
@@ -86,6 +87,7 @@
   Backoff m_watch_backoff;
   Backoff m_register_backoff;
   ConfigState m_state;
+  KeyActivation m_activation;
   uint64_t m_watched_to = 0;  // revision up to which the watch has told all
   bool m_reachable = true;
   bool m_behind = false;   // a check is due
--- /dev/null
+++ b/filberthollow/config/key_activation_test.cc
@@ -0,0 +1,61 @@
+#include "filberthollow/config/key_activation.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+namespace filberthollow::config {
+namespace {
+
+using base::Millis;
+
+// A calendar clock that returns the listed times in turn, and the last one
+// from then on.
+struct ScriptedClock {
+  std::vector<Millis> times;
+  size_t next = 0;
+  Millis Now() {
+    return times.at(next + 1 < times.size() ? next++ : times.size() - 1);
+  }
+};
+
+// Arms as a config task does, and returns the epoch that signs in the end.
+uint32_t SigningEpochAfter(std::vector<Millis> times) {
+  base::SystemClock steady;
+  net::Loop loop(steady);
+  ScriptedClock wall{std::move(times)};
+  flow::KeyRing keys({{1, {1}, Millis(0)}, {2, {2}, Millis(50)}}, Millis(40));
+  KeyActivation* self = nullptr;
+  KeyActivation activation(
+      loop, [&wall] { return wall.Now(); },
+      [&](Millis wall_now) {
+        keys = keys.At(wall_now);
+        self->Arm(keys);
+      });
+  self = &activation;
+  activation.Arm(keys);
+  bool over = false;
+  loop.After(Millis(100), [&over] { over = true; });
+  loop.RunUntil([&over] { return over; });
+  return keys.signing_epoch();
+}
+
+BOOST_AUTO_TEST_CASE(AKeyIsActivatedOnTime) {
+  BOOST_TEST(SigningEpochAfter({Millis(40), Millis(50)}) == 2u);
+}
+
+// The timer fires a millisecond early, and the key becomes active between two
+// looks at the clock.
+BOOST_AUTO_TEST_CASE(AKeyIsActivatedAfterATimerThatFiredEarly) {
+  BOOST_TEST(SigningEpochAfter({Millis(40), Millis(49), Millis(50)}) == 2u);
+  BOOST_TEST(SigningEpochAfter(
+                 {Millis(40), Millis(49), Millis(49), Millis(50)}) == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(AKeyIsActivatedAfterTheClockWasSetBackOrForward) {
+  BOOST_TEST(SigningEpochAfter({Millis(40), Millis(10), Millis(60)}) == 2u);
+  BOOST_TEST(SigningEpochAfter({Millis(60), Millis(60)}) == 2u);
+}
+
+}  // namespace
+}  // namespace filberthollow::config
--- a/filberthollow/flow/token.cc
+++ b/filberthollow/flow/token.cc
@@ -103,10 +103,10 @@
   }
 }
 
-base::Millis KeyRing::NextActivation(base::Millis wall_now) const {
+base::Millis KeyRing::NextActivation() const {
   base::Millis next = base::kNever;
   for (const auto& [epoch, key] : m_keys) {
-    if (key.active_from > wall_now) {
+    if (epoch > m_signing) {
       next = std::min(next, key.active_from);
     }
   }
--- a/filberthollow/flow/token.h
+++ b/filberthollow/flow/token.h
@@ -66,9 +66,9 @@
   uint32_t newest_epoch() const;
   // Returns the epoch that Sign() and Seal() use.
   uint32_t signing_epoch() const { return m_signing; }
-  // Returns when the next key becomes active, after `wall_now`; kNever if all
-  // are.
-  base::Millis NextActivation(base::Millis wall_now) const;
+  // Returns the calendar time at which a newer key than the signing one becomes
+  // active; kNever if there is none.
+  base::Millis NextActivation() const;
   // Returns the same keys as they are to be used at `wall_now`.
   KeyRing At(base::Millis wall_now) const;
 
--- a/filberthollow/flow/token_test.cc
+++ b/filberthollow/flow/token_test.cc
@@ -31,9 +31,10 @@
   KeyRing keys({first, second}, Millis(4000));
   BOOST_TEST(keys.signing_epoch() == 1u);
   BOOST_TEST(keys.newest_epoch() == 2u);
-  BOOST_TEST((keys.NextActivation(Millis(4000)) == Millis(5000)));
+  BOOST_TEST((keys.NextActivation() == Millis(5000)));
   BOOST_TEST(keys.At(Millis(5000)).signing_epoch() == 2u);
-  BOOST_TEST((keys.NextActivation(Millis(5000)) == base::kNever));
+  BOOST_TEST((keys.At(Millis(4999)).NextActivation() == Millis(5000)));
+  BOOST_TEST((keys.At(Millis(5000)).NextActivation() == base::kNever));
   BOOST_TEST(KeyRing({second}, Millis(4000)).signing_epoch() == 2u);
 }
 
