--- a/filberthollow/decision/balancer_set.cc
+++ b/filberthollow/decision/balancer_set.cc
@@ -20,8 +20,11 @@
   }
   auto [found, added] = m_balancers.try_emplace(balancer);
   bool news = added || !found->second.heard || found->second.run != run;
-  found->second = {
-      .heard_at = now, .run = run, .heard = true, .leaving = leaving};
+  found->second = {.heard_at = now,
+                   .run = run,
+                   .heard = true,
+                   .leaving = leaving,
+                   .silent = found->second.silent};
   return news;
 }
 
@@ -37,6 +40,18 @@
   });
 }
 
+std::vector<BalancerSilence> BalancerSet::TakeSilences(base::Millis now) {
+  std::vector<BalancerSilence> changes;
+  for (auto& [address, entry] : m_balancers) {
+    bool silent = entry.heard && !IsLively(entry, now);
+    if (silent != entry.silent) {
+      entry.silent = silent;
+      changes.push_back({address, silent, now - entry.heard_at});
+    }
+  }
+  return changes;
+}
+
 template <class Keep>
 std::vector<base::Address> BalancerSet::Select(Keep keep) const {
   std::vector<base::Address> selected;
--- a/filberthollow/decision/balancer_set.h
+++ b/filberthollow/decision/balancer_set.h
@@ -14,6 +14,15 @@
 
 namespace filberthollow::decision {
 
+// BalancerSilence: a balancer has fallen silent, or is heard again.
+struct BalancerSilence {
+  base::Address balancer;
+  bool silent = false;
+  base::Millis unheard;
+  friend bool operator==(const BalancerSilence&,
+                         const BalancerSilence&) = default;
+};
+
 // BalancerSet belongs to one task.
 class BalancerSet {
  public:
@@ -45,6 +54,10 @@
   // Forget drops those that were silent for too long.
   void Forget(base::Millis now);
 
+  // TakeSilences returns the balancers that have fallen silent, or were heard
+  // again, since the last call.
+  std::vector<BalancerSilence> TakeSilences(base::Millis now);
+
   // Lively returns those that were heard of lately, Silent the others.
   std::vector<base::Address> Lively(base::Millis now) const;
   std::vector<base::Address> Silent(base::Millis now) const;
@@ -63,6 +76,7 @@
     uint64_t run = 0;
     bool heard = false;
     bool leaving = false;
+    bool silent = false;  // as was last returned by TakeSilences()
   };
 
   bool IsLively(const Entry& entry, base::Millis now) const;
--- a/filberthollow/decision/balancer_set_test.cc
+++ b/filberthollow/decision/balancer_set_test.cc
@@ -85,5 +85,19 @@
   BOOST_TEST(set.size() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(SilenceAndReturnAreToldOnce) {
+  BalancerSet set(kSelf);
+  set.Add({3, 10}, Millis(0));  // named by others, never heard
+  set.Hear(kOther, kRun, false, Millis(0));
+  BOOST_TEST(set.TakeSilences(Millis(100)).empty());
+  Millis late = BalancerSet::kLivelyFor + Millis(1);
+  BalancerSilence lost{kOther, true, late};
+  BOOST_TEST((set.TakeSilences(late) == std::vector{lost}));
+  BOOST_TEST(set.TakeSilences(late).empty());
+  set.Hear(kOther, kRun + 1, false, late);
+  BalancerSilence regained{kOther, false, Millis(2)};
+  BOOST_TEST((set.TakeSilences(late + Millis(2)) == std::vector{regained}));
+}
+
 }  // namespace
 }  // namespace filberthollow::decision
--- a/filberthollow/passthrough/packets_task.cc
+++ b/filberthollow/passthrough/packets_task.cc
@@ -94,10 +94,20 @@
 
 void PacketsTask::OnTick() {
   m_next_tick = base::kNever;
+  NoteSilences();
   Decide();
   ArmTick();
 }
 
+void PacketsTask::NoteSilences() {
+  for (const auto& change : m_balancers.TakeSilences(Now())) {
+    m_metrics.Add(change.silent ? "balancers_lost" : "balancers_regained");
+    base::Log(
+        Level::kWarning, change.silent ? "balancer_silent" : "balancer_heard",
+        {{"balancer", change.balancer.Text()}, {"unheard_ms", change.unheard}});
+  }
+}
+
 base::Millis PacketsTask::PacedInterval(size_t peers, base::Millis shortest) {
   int64_t bytes = static_cast<int64_t>(peers) * kControlMessageBytes;
   return std::max(shortest, base::Millis(bytes * kMillisPerSecond /
--- a/filberthollow/passthrough/packets_task.h
+++ b/filberthollow/passthrough/packets_task.h
@@ -76,6 +76,8 @@
 
  private:
   void OnTick();
+  // Logs which balancers have fallen silent or are heard again.
+  void NoteSilences();
 
   const uint16_t m_caller_port;
   const flow::PacketFormat& m_format;
--- a/filberthollow/platform/platform_fleet_test.py
+++ b/filberthollow/platform/platform_fleet_test.py
@@ -56,6 +56,13 @@
         return (self.src, self.sport, self.dst, self.dport)
 
 
+def replace(path, text):
+    """Changes a file at once, so that nobody reads half of it."""
+    new = path.with_suffix(".new")
+    new.write_text(text)
+    new.rename(path)
+
+
 def bound(address):
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.bind(address)
@@ -218,11 +225,23 @@
             raise RuntimeError(f"configuration refused: {status} {text}")
 
     def start(self, host, role, first_start="true"):
+        self.write_settings(host, role, first_start, self.balancers[0],
+                            self.platform.at["http"])
+        self.run(host, role)
+
+    def run(self, host, role):
+        with open(self.folder / f"{host}.log", "ab") as log:
+            self.running[host] = subprocess.Popen(
+                [str(BIN / "filberthollow-passthrough"), role], stdout=log,
+                stderr=log, env={"FILBERTHOLLOW_BOOT": str(
+                    self.folder / f"{host}.conf")})
+
+    def write_settings(self, host, role, first_start, seed, platform):
         lines = [f"node={role}-{host}", "zone=here", "region=here",
                  f"internalPorts={PORTS['peers']},{PORTS['peers'] + 1}",
-                 f"seeds={self.balancers[0]}:{PORTS['control']}",
+                 f"seeds={seed}:{PORTS['control']}",
                  f"bootstrap={first_start}", "heartbeatMs=300",
-                 f"platform.address={self.platform.at['http']}",
+                 f"platform.address={platform}",
                  "bounds.graceS=6"]
         lines += [f"listenAddresses.{name}={host}:{PORTS[name]}"
                   for name in ("packets", "ready", "control")]
@@ -230,11 +249,7 @@
             lines += [f"listenAddresses.outbound={host}:{PORTS['outbound']}",
                       f"app={host}:{PORTS['app']}", "service=desk"]
         settings = self.folder / f"{host}.conf"
-        settings.write_text("\n".join(lines) + "\n")
-        with open(self.folder / f"{host}.log", "ab") as log:
-            self.running[host] = subprocess.Popen(
-                [str(BIN / "filberthollow-passthrough"), role], stdout=log,
-                stderr=log, env={"FILBERTHOLLOW_BOOT": str(settings)})
+        replace(settings, "\n".join(lines) + "\n")
 
     def add_upstream(self, number):
         host = f"{NET}.{20 + number}"
@@ -335,6 +350,46 @@
         self.assertIsNotNone(caller.ask(balancer, port, accepted, b"a"))
         self.assertEqual(process.wait(6), 0)
 
+    def test_new_seeds_are_used_without_a_signal(self):
+        # It finds neither the platform nor a balancer until its seeds change.
+        system, host, nobody = self.system, f"{NET}.12", f"{NET}.99"
+        system.balancers.append(host)
+        system.write_settings(host, "balancer", "false", nobody,
+                              f"{nobody}:1")
+        system.run(host, "balancer")
+        time.sleep(1.5)
+        self.assertFalse(system.ready(host))
+        settings = system.folder / f"{host}.conf"
+        good = settings.read_text().replace(
+            f"seeds={nobody}", f"seeds={system.balancers[0]}")
+        replace(settings, "seeds=nonsense\n")
+        wait_until(lambda: events_of(system.logs(), "settings_refused"), 5,
+                   "settings that are wrong are refused")
+        replace(settings, good)
+        wait_until(lambda: system.ready(host), 5, "the new seeds are used")
+        self.assertEqual(len(events_of(system.logs(), "settings_refused")), 1)
+        self.assertEqual(len(events_of(system.logs(), "settings_changed")), 1)
+
+    def test_a_silent_balancer_is_noted_by_the_others(self):
+        one, two = self.system.balancers
+        process = self.system.running[two]
+        process.kill()
+        process.wait(10)
+        wait_until(lambda: self.silences("balancer_silent") ==
+                   {f"balancer-{one}", f"agent-{self.first.host}"}, 10,
+                   "the silence is noted")
+        self.system.start(two, "balancer")
+        wait_until(lambda: self.silences("balancer_heard") ==
+                   {f"balancer-{one}", f"agent-{self.first.host}"}, 10,
+                   "the return is noted")
+
+    def silences(self, event):
+        """Returns the processes that noted it of the second balancer."""
+        lost = f"{self.system.balancers[1]}:{PORTS['peers']}"
+        return {line["process"] for line in
+                events_of(self.system.logs(), event)
+                if line["balancer"] == lost}
+
     def test_strange_heartbeats_name_no_upstream(self):
         for body in ("", "{", "[1]", "{\"state\":\"ready\"}", "\xff" * 40):
             self.assertEqual(self.first.beat(body), 400)
