--- a/filberthollow/daemon/daemon.cc
+++ b/filberthollow/daemon/daemon.cc
@@ -17,7 +17,9 @@
   po::options_description options(fmt::format("{} OPTIONS", name));
   options.add_options()("help", "print this help")(
       "settings", po::value<std::string>(), "the process file (JSON)")(
-      "check", "check the process file and end");
+      "passthrough",
+      "carry flows whose ends have their own protocol; the platform names the "
+      "process file")("check", "check the process file and end");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, options), values);
@@ -26,13 +28,16 @@
     exit_code = kExitBadFile;
     return std::nullopt;
   }
-  if (values.count("help") != 0 || values.count("settings") == 0) {
+  bool passthrough = values.count("passthrough") != 0;
+  bool has_path = values.count("settings") != 0;
+  if (values.count("help") != 0 || has_path == passthrough) {
     std::cout << options;
     exit_code = values.count("help") != 0 ? kExitDone : kExitBadFile;
     return std::nullopt;
   }
-  return DaemonOptions{values["settings"].as<std::string>(),
-                       values.count("check") != 0};
+  return DaemonOptions{
+      has_path ? values["settings"].as<std::string>() : std::string(),
+      values.count("check") != 0, passthrough};
 }
 
 void StartLog(const std::string& process) {
--- a/filberthollow/daemon/daemon.h
+++ b/filberthollow/daemon/daemon.h
@@ -3,7 +3,8 @@
 //
 //   int main(int argc, char** argv) {
 //     return RunDaemon<AgentFile>(argc, argv, "filberthollow-agent",
-//                                 &ParseAgentFile, &RunAgent);
+//                                 &ParseAgentFile, &RunAgent,
+//                                 &RunPassthroughAgent);
 //   }
 #ifndef FILBERTHOLLOW_DAEMON_DAEMON_H_
 #define FILBERTHOLLOW_DAEMON_DAEMON_H_
@@ -28,8 +29,9 @@
 
 // DaemonOptions are read from the command line.
 struct DaemonOptions {
-  std::string settings_path;
+  std::string settings_path;  // empty with `passthrough`
   bool check_only = false;
+  bool passthrough = false;  // for flows whose ends have their own protocol
   friend bool operator==(const DaemonOptions&, const DaemonOptions&) = default;
 };
 
@@ -47,19 +49,24 @@
 void StartLog(const std::string& process);
 
 // RunDaemon reads and checks the process file and runs the daemon until it is
-// told to stop. Returns the exit code.
+// told to stop; with `--passthrough` it leaves all that to `run_passthrough`.
+// Returns the exit code.
 template <class File>
 int RunDaemon(int argc,
               char** argv,
               const char* name,
               base::Result<File> (*parse)(std::string_view, std::string_view),
-              int (*run)(const File&)) {
+              int (*run)(const File&),
+              int (*run_passthrough)(const DaemonOptions&)) {
   kernel::BlockSignals();
   int exit_code = kExitDone;
   auto options = ParseOptions(argc, argv, name, exit_code);
   if (!options) {
     return exit_code;
   }
+  if (options->passthrough) {
+    return run_passthrough(*options);
+  }
   auto text = settings::ReadFile(options->settings_path);
   auto file = text ? parse(*text, options->settings_path)
                    : base::Result<File>(text.error());
--- a/filberthollow/platform/adapter.cc
+++ b/filberthollow/platform/adapter.cc
@@ -1,5 +1,7 @@
 #include "filberthollow/platform/adapter.h"
 
+#include <fmt/format.h>
+
 #include "filberthollow/platform/announcement.h"
 #include "filberthollow/platform/node_settings.h"
 #include "filberthollow/platform/operator_config.h"
@@ -20,4 +22,21 @@
           .read_snapshot = &ParseOperatorConfig};
 }
 
+int RunOnPlatform(const daemon::DaemonOptions& options,
+                  const char* name,
+                  int (*run)(const passthrough::NodeFile&,
+                             const passthrough::Adapter&)) {
+  auto file = ReadNodeSettings();
+  if (!file) {
+    // For the person at the terminal; the process has no log yet.
+    fmt::print(stderr, "{}: {}\n", name, file.error().Text());
+    return daemon::kExitBadFile;
+  }
+  if (options.check_only) {
+    return daemon::kExitDone;
+  }
+  daemon::StartLog(file->name);
+  return run(*file, MakeAdapter(*file));
+}
+
 }  // namespace filberthollow::platform
--- a/filberthollow/platform/platform_fleet_test.py
+++ b/filberthollow/platform/platform_fleet_test.py
@@ -232,8 +232,8 @@
     def run(self, host, role):
         with open(self.folder / f"{host}.log", "ab") as log:
             self.running[host] = subprocess.Popen(
-                [str(BIN / "filberthollow-passthrough"), role], stdout=log,
-                stderr=log, env={"FILBERTHOLLOW_BOOT": str(
+                [str(BIN / f"filberthollow-{role}"), "--passthrough"],
+                stdout=log, stderr=log, env={"FILBERTHOLLOW_BOOT": str(
                     self.folder / f"{host}.conf")})
 
     def write_settings(self, host, role, first_start, seed, platform):
@@ -370,6 +370,21 @@
         self.assertEqual(len(events_of(system.logs(), "settings_refused")), 1)
         self.assertEqual(len(events_of(system.logs(), "settings_changed")), 1)
 
+    def test_check_names_the_field_that_is_wrong(self):
+        host = f"{NET}.13"
+        settings = self.system.folder / f"{host}.conf"
+        self.system.write_settings(host, "agent", "true", host, f"{host}:1")
+        check = [str(BIN / "filberthollow-agent"), "--passthrough", "--check"]
+        where = {"FILBERTHOLLOW_BOOT": str(settings)}
+        self.assertEqual(subprocess.run(check, env=where, timeout=10,
+                                        check=False).returncode, 0)
+        replace(settings, settings.read_text().replace(
+            f"app={host}:", f"app={host}:x"))
+        refused = subprocess.run(check, env=where, timeout=10, check=False,
+                                 capture_output=True, text=True)
+        self.assertEqual(refused.returncode, 2)
+        self.assertIn(f"{settings}: app", refused.stderr)
+
     def test_a_silent_balancer_is_noted_by_the_others(self):
         one, two = self.system.balancers
         process = self.system.running[two]
--- a/filberthollow/programs/filberthollow_agent.cc
+++ b/filberthollow/programs/filberthollow_agent.cc
@@ -1,10 +1,23 @@
 // filberthollow-agent: runs the requests of one target beside its upstream.
 #include "filberthollow/agent/agent_process.h"
 #include "filberthollow/daemon/daemon.h"
+#include "filberthollow/passthrough/node_process.h"
+#include "filberthollow/platform/adapter.h"
+
+namespace {
+
+namespace daemon = filberthollow::daemon;
+namespace settings = filberthollow::settings;
+
+int RunPassthrough(const daemon::DaemonOptions& options) {
+  return filberthollow::platform::RunOnPlatform(
+      options, "filberthollow-agent", &filberthollow::passthrough::RunAgent);
+}
+
+}  // namespace
 
 int main(int argc, char** argv) {
-  namespace settings = filberthollow::settings;
-  return filberthollow::daemon::RunDaemon<settings::AgentFile>(
+  return daemon::RunDaemon<settings::AgentFile>(
       argc, argv, "filberthollow-agent", &settings::ParseAgentFile,
-      &filberthollow::agent::RunAgent);
+      &filberthollow::agent::RunAgent, &RunPassthrough);
 }
--- a/filberthollow/programs/filberthollow_balancer.cc
+++ b/filberthollow/programs/filberthollow_balancer.cc
@@ -1,10 +1,24 @@
 // filberthollow-balancer: relays callers' datagrams to agents.
 #include "filberthollow/balancer/balancer_process.h"
 #include "filberthollow/daemon/daemon.h"
+#include "filberthollow/passthrough/node_process.h"
+#include "filberthollow/platform/adapter.h"
+
+namespace {
+
+namespace daemon = filberthollow::daemon;
+namespace settings = filberthollow::settings;
+
+int RunPassthrough(const daemon::DaemonOptions& options) {
+  return filberthollow::platform::RunOnPlatform(
+      options, "filberthollow-balancer",
+      &filberthollow::passthrough::RunBalancer);
+}
+
+}  // namespace
 
 int main(int argc, char** argv) {
-  namespace settings = filberthollow::settings;
-  return filberthollow::daemon::RunDaemon<settings::BalancerFile>(
+  return daemon::RunDaemon<settings::BalancerFile>(
       argc, argv, "filberthollow-balancer", &settings::ParseBalancerFile,
-      &filberthollow::balancer::RunBalancer);
+      &filberthollow::balancer::RunBalancer, &RunPassthrough);
 }
