--- /dev/null
+++ b/tools/days.py
@@ -0,0 +1,131 @@
+"""Writes the days of single kinds and of pairs of trouble into deploy/days/.
+
+    tools/days.py          writes the files
+    tools/days.py --check  tells whether they are as this script writes them
+
+Each kind gets a day of its own, on which it comes alone, and later twice in
+quick succession. Pairs come at the same second; which ones is drawn from a
+fixed seed, so that the files stay the same. The bench's hunts play them with
+times and figures varied, beside the other days of the folder.
+"""
+
+import argparse
+import pathlib
+import random
+import sys
+
+DAYS = pathlib.Path(__file__).resolve().parents[1] / "deploy/days"
+PAIRS = 24
+PAIR_SEED = 4
+FIRST_AT, TWICE_AT = 6.0, (17.0, 19.0)
+PAIR_AT = (6.0, 18.0)
+
+# Name of the day, list that the entry belongs to, kind, further fields.
+KINDS = [
+    ("crash-dark", "faults", "srv_crash", 'share = 0.3, how = "dark", for_s = 4.0'),
+    ("crash-gone", "faults", "srv_crash", 'share = 0.2, how = "gone"'),
+    ("crash-domain", "faults", "srv_crash", 'how = "domain", for_s = 4.0'),
+    ("slow-upstreams", "faults", "srv_slow", "share = 0.3, x = 5.0, for_s = 5.0"),
+    ("release", "plan", "release", "share = 0.5, gap_s = 1.0"),
+    ("reuse", "faults", "replace_with_reuse", "share = 0.3"),
+    ("reuse-drain", "faults", "replace_with_reuse", 'share = 0.3, how = "drain"'),
+    ("reuse-dark", "faults", "replace_with_reuse", 'share = 0.3, how = "dark"'),
+    ("reuse-side", "faults", "replace_with_reuse", 'share = 0.3, how = "side"'),
+    ("scale-out", "plan", "scale_out", "share = 0.4, gap_s = 1.0"),
+    ("scale-in", "plan", "scale_in", "share = 0.2"),
+    ("scale-in-spot", "plan", "scale_in", 'share = 0.3, how = "spot", x = 2.0'),
+    ("scale-in-reclaim", "plan", "scale_in", 'how = "reclaim", x = 2.5, for_s = 5.0'),
+    ("kill-fronts", "faults", "node_kill", "share = 0.4"),
+    ("kill-sides", "faults", "node_kill", 'on = "side", share = 0.4'),
+    ("power-fronts", "faults", "node_kill", 'share = 0.4, how = "power meet", for_s = 3.0'),
+    ("power-sides", "faults", "node_kill", 'on = "side", share = 0.3, how = "power race", for_s = 3.0'),
+    ("freeze-fronts", "faults", "node_freeze", "share = 0.4, for_s = 2.0"),
+    ("freeze-sides", "faults", "node_freeze", 'on = "side", share = 0.3, for_s = 3.0'),
+    ("slow-fronts", "faults", "node_slow", "share = 0.4, x = 5.0, for_s = 6.0"),
+    ("slow-sides", "faults", "node_slow", 'on = "side", share = 0.4, x = 5.0, for_s = 6.0'),
+    ("roll-fronts", "plan", "roll_term", "share = 1.0, x = 2, gap_s = 0.7"),
+    ("roll-sides", "plan", "roll_term", 'on = "side", share = 0.5, gap_s = 0.7'),
+    ("roll-remove", "plan", "roll_term", 'share = 0.4, gap_s = 1.0, how = "remove"'),
+    ("herd-kill", "faults", "herd_kill", "share = 0.7"),
+    ("herd-power", "faults", "herd_kill", 'share = 0.6, how = "power", for_s = 2.0'),
+    ("herd-sides", "faults", "herd_kill", 'on = "side", share = 0.5'),
+    ("add-nodes", "plan", "add_nodes", "share = 1.0"),
+    ("clock-back", "faults", "clock_step", 'share = 0.5, x = 5000.0, how = "back", for_s = 4.0'),
+    ("clock-ahead", "faults", "clock_step", 'share = 0.5, x = 5000.0, how = "ahead", for_s = 4.0'),
+    ("cut-fronts", "faults", "node_cut", "share = 0.4, for_s = 4.0"),
+    ("cut-all", "faults", "node_cut", 'share = 0.4, how = "all", for_s = 4.0'),
+    ("cut-servers", "faults", "node_cut", 'share = 0.3, how = "servers", for_s = 4.0'),
+    ("cut-reborn", "faults", "node_cut", 'share = 0.3, how = "servers reborn", for_s = 4.0'),
+    ("cut-reset", "faults", "node_cut", 'share = 0.4, how = "all reset", for_s = 4.0'),
+    ("store-nodes-busy", "faults", "platform_down", 'share = 0.5, how = "nodes busy", for_s = 6.0'),
+    ("store-nodes-many", "faults", "platform_down", 'share = 0.5, how = "nodes many", for_s = 6.0'),
+    ("store-nodes-silent", "faults", "platform_down", 'share = 0.5, how = "nodes", for_s = 6.0'),
+    ("store-silent", "faults", "platform_down", 'how = "silent", for_s = 6.0'),
+    ("store-busy-lapse", "faults", "platform_down", 'how = "busy lapse", for_s = 6.0'),
+    ("store-reset", "faults", "platform_down", 'how = "reset", for_s = 6.0'),
+    ("store-slow", "faults", "platform_slow", "x = 50.0, for_s = 6.0"),
+    ("store-lost", "faults", "platform_lost", "x = 0.5, for_s = 6.0"),
+    ("store-late", "faults", "platform_lost", 'x = 0.5, how = "late", for_s = 6.0'),
+    ("store-compact", "faults", "platform_compact", "for_s = 5.0"),
+    ("store-stale", "faults", "platform_compact", 'how = "stale drain", x = 3.0, for_s = 5.0'),
+    ("config-route", "plan", "config_change", 'how = "route"'),
+    ("config-weights", "plan", "config_change", 'how = "weights"'),
+    ("config-timeout", "plan", "config_change", 'how = "timeout"'),
+    ("config-quota", "plan", "config_change", 'how = "quota down"'),
+    ("config-idle", "plan", "config_change", 'how = "idle"'),
+    ("big-config", "plan", "big_config", "count = 200"),
+    ("config-storm", "plan", "config_storm", "gap_s = 0.3, for_s = 4.0"),
+    ("after-ack", "faults", "after_ack_kill", "count = 2"),
+    ("after-ack-timed", "faults", "after_ack_kill", 'how = "timed"'),
+    ("hup", "plan", "hup", "share = 1.0, gap_s = 0.5"),
+    ("reset-connections", "faults", "reset_conns", "share = 1.0, x = 1.0"),
+]
+
+
+def entry(kind, at):
+    _, _, name, fields = kind
+    return f'  {{ kind = "{name}", {fields}, at = {at} }},'
+
+
+def day(name, about, entries):
+    """Returns the text of a day; `entries` are pairs of a kind and a time."""
+    lines = [f"# {about}", f'name = "{name}"']
+    for group in ("plan", "faults"):
+        inside = [entry(k, at) for k, at in entries if k[1] == group]
+        lines += [f"{group} = [", *inside, "]"] if inside else [f"{group} = []"]
+    return "\n".join(lines) + "\n"
+
+
+def all_days():
+    """Returns the text of each day by its file name."""
+    days = {}
+    for kind in KINDS:
+        name = f"single-{kind[0]}"
+        days[name] = day(name, f"{kind[2]} alone, then twice.",
+                         [(kind, at) for at in (FIRST_AT, *TWICE_AT)])
+    draw = random.Random(PAIR_SEED)
+    while sum(name.startswith("pair-") for name in days) < PAIRS:
+        one, two = draw.sample(KINDS, 2)
+        name = f"pair-{one[0]}-and-{two[0]}"
+        days[name] = day(name, f"{one[2]} and {two[2]} at the same second.",
+                         [(kind, at) for at in PAIR_AT for kind in (one, two)])
+    return days
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true")
+    check = parser.parse_args().check
+    wrong = 0
+    for name, text in all_days().items():
+        path = DAYS / f"{name}.toml"
+        if not check:
+            path.write_text(text)
+        elif not path.exists() or path.read_text() != text:
+            print(f"{path}: not as tools/days.py writes it")
+            wrong += 1
+    return 1 if wrong else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
