--- a/filberthollow/decision/balancer_set.cc
+++ b/filberthollow/decision/balancer_set.cc
@@ -91,4 +91,16 @@
   });
 }
 
+std::vector<base::Address> BalancerSet::NextNamed(base::Millis now) {
+  std::vector<base::Address> staying = Staying(now);
+  if (staying.size() <= kNamed) {
+    return staying;
+  }
+  auto next = std::upper_bound(staying.begin(), staying.end(), m_last_named);
+  std::rotate(staying.begin(), next, staying.end());
+  staying.resize(kNamed);
+  m_last_named = staying.back();
+  return staying;
+}
+
 }  // namespace filberthollow::decision
--- a/filberthollow/decision/balancer_set_test.cc
+++ b/filberthollow/decision/balancer_set_test.cc
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 namespace filberthollow::decision {
 namespace {
 
@@ -99,5 +101,28 @@
   BOOST_TEST((set.TakeSilences(late + Millis(2)) == std::vector{regained}));
 }
 
+// With a thousand balancers a hello that named all took 6 KB, and the hellos of
+// one balancer 120 KB a second.
+BOOST_AUTO_TEST_CASE(AHelloNamesFewBalancersAndAllInTurn) {
+  constexpr uint32_t kFleet = 1000;
+  BalancerSet set(kSelf);
+  for (uint32_t i = 0; i < kFleet; ++i) {
+    set.Hear({100 + i, 10}, kRun, false, Millis(0));
+  }
+  std::set<Address> named;
+  for (size_t hello = 0; hello <= kFleet / BalancerSet::kNamed; ++hello) {
+    std::vector<Address> some = set.NextNamed(Millis(1));
+    BOOST_TEST(some.size() == BalancerSet::kNamed);
+    named.insert(some.begin(), some.end());
+  }
+  BOOST_TEST(named.size() == kFleet);
+}
+
+BOOST_AUTO_TEST_CASE(AHelloOfASmallFleetNamesAll) {
+  BalancerSet set(kSelf);
+  set.Hear(kOther, kRun, false, Millis(0));
+  BOOST_TEST((set.NextNamed(Millis(1)) == std::vector{kOther}));
+}
+
 }  // namespace
 }  // namespace filberthollow::decision
--- a/filberthollow/measure/measure_main.cc
+++ b/filberthollow/measure/measure_main.cc
@@ -51,6 +51,7 @@
            measure::RouterOfferTime(targets),
            measure::GatePacketTime(flows),
            measure::ReportBytes({1, 1000}),
+           measure::HelloBytes({0, 4, 16}),
        }) {
     nlohmann::json points = nlohmann::json::array();
     for (const measure::Point& point : series.points) {
--- a/filberthollow/measure/packet_slopes.cc
+++ b/filberthollow/measure/packet_slopes.cc
@@ -174,4 +174,18 @@
   return series;
 }
 
+Series HelloBytes(const Sizes& named) {
+  Series series{"hello_bytes", "balancers named", "bytes", {}};
+  for (uint32_t size : named) {
+    decision::BalancerHello hello;
+    for (uint32_t i = 0; i < size; ++i) {
+      hello.balancers.push_back(AgentAddress(i));
+    }
+    series.points.push_back(
+        {static_cast<double>(size),
+         static_cast<double>(wire::EncodePacketMessage(hello).size())});
+  }
+  return series;
+}
+
 }  // namespace filberthollow::measure
--- a/filberthollow/measure/slopes.h
+++ b/filberthollow/measure/slopes.h
@@ -86,6 +86,7 @@
 Series RouterOfferTime(const Sizes& agents);
 Series GatePacketTime(const Sizes& flows);
 Series ReportBytes(const Sizes& loads);
+Series HelloBytes(const Sizes& named);
 
 }  // namespace filberthollow::measure
 
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -235,7 +235,7 @@
   SendToPeer(decision::BalancerHello{.revision = m_router.revision(),
                                      .run = m_run,
                                      .leaving = leaving(),
-                                     .balancers = m_balancers.Staying(Now()),
+                                     .balancers = m_balancers.NextNamed(Now()),
                                      .newcomer = newcomer},
              to);
 }
