Agents that stop beside living upstreams say so, and end between two requests

The agent ended after its whole grace, 5.2 s, and was back 0.6 s later; the balancer had heard its last report 0.7 s before, took the silence for a loss and reset repeatable flows. Their upstream had never stopped.

Ruled out: the agent's own table after the restart (it was up 0.04 s after the resets, and unsure of all flows, as it should be).

Change: a report says `leaving` if the agent stops beside an upstream that lives; flows at such an agent are not called lost while it is silent, neither known ones nor in a search. Such an agent ends as soon as no request is in progress, after 0.1 s at least and 1 s at most, and reports once more at its end: before, its upstream got no new flow for 5.2 s.

--- a/filberthollow/decision/flow_router.cc
+++ b/filberthollow/decision/flow_router.cc
@@ -24,6 +24,12 @@
          (m_isolated && !WasHeardLately(agent, now));
 }
 
+bool FlowRouter::HasLostFlows(base::Address agent, base::Millis now) const {
+  auto found = m_agents.find(agent);
+  return found == m_agents.end() ||
+         (IsSilent(found->second, now) && !found->second.report.leaving);
+}
+
 bool FlowRouter::KnowsAllAgents(base::Millis now) const {
   return now - m_started >
          std::max(kCertainAfter, m_longest_interval * kCertainReports);
@@ -180,9 +186,8 @@
     return;
   }
   known->second.last_used = now;
-  auto agent = m_agents.find(known->second.agent);
-  bool lost = agent == m_agents.end() || IsSilent(agent->second, now);
-  if (lost && route->idempotent && head.data_bytes > 0) {
+  if (HasLostFlows(known->second.agent, now) && route->idempotent &&
+      head.data_bytes > 0) {
     // The caller repeats such work elsewhere at once. Other work is left to
     // the upstream, which may have it already.
     m_known.erase(known);
@@ -344,14 +349,12 @@
                           base::Millis now,
                           RouterActions& actions) {
   bool guessed = false;
-  bool silent_only = true;  // whoever did not answer is silent
+  bool lost_only = true;  // whoever did not answer has lost its flows
   bool all_answered = true;
   for (const auto& [address, holding] : search.asked) {
     if (!holding) {
-      auto agent = m_agents.find(address);
       all_answered = false;
-      silent_only = silent_only &&
-                    (agent == m_agents.end() || IsSilent(agent->second, now));
+      lost_only = lost_only && HasLostFlows(address, now);
     } else if (*holding == Holding::kUnsure) {
       guessed = true;
       for (const std::string& packet : search.packets) {
@@ -362,7 +365,7 @@
   const CompiledRoute* route = m_routes->Find(ends.route);
   bool repeatable = route != nullptr && route->idempotent;
   bool certain = KnowsAllAgents(now) && !guessed &&
-                 (all_answered || (silent_only && repeatable));
+                 (all_answered || (lost_only && repeatable));
   if (certain && search.wants_answer) {
     actions.emplace_back(
         ResetCaller{ends, search.acknowledged,
--- a/filberthollow/decision/flow_router.h
+++ b/filberthollow/decision/flow_router.h
@@ -262,6 +262,9 @@
                 base::Address agent,
                 base::Millis now);
   bool IsSilent(const Agent& agent, base::Millis now) const;
+  // Returns whether the flows of an agent count as lost: it is silent, and has
+  // not said that it stops beside an upstream that keeps them.
+  bool HasLostFlows(base::Address agent, base::Millis now) const;
   // Returns whether all agents must have been heard of.
   bool KnowsAllAgents(base::Millis now) const;
   static bool WasHeardLately(const Agent& agent, base::Millis now);
--- a/filberthollow/decision/flow_router_test.cc
+++ b/filberthollow/decision/flow_router_test.cc
@@ -259,6 +259,37 @@
   BOOST_TEST((resets[0].reason == Reason::kFlowLost));
 }
 
+// An agent that was restarted as planned was away for 0.6 s; its flows were
+// reset though their upstream had never stopped.
+BOOST_FIXTURE_TEST_CASE(FlowsWaitForAnAgentThatRestarts, RepeatableFlow) {
+  router.OnReport({.service = testing::kMaps,
+                   .state = UpstreamState::kDraining,
+                   .interval = Millis(200),
+                   .leaving = true},
+                  kFirst, now);
+  Pass(FlowRouter::kMinSilence * 4, {});
+  BOOST_TEST(Only<ResetCaller>(FromCaller(data)).empty());
+  Report(kFirst, testing::kMaps);
+  Pass(FlowRouter::kMinSilence + kStep, {});
+  BOOST_TEST(Only<ResetCaller>(FromCaller(data)).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ASearchWaitsForAnAgentThatRestarts, RepeatableFlow) {
+  Settle({kFirst, kSecond});
+  router.OnReport({.service = testing::kMaps,
+                   .state = UpstreamState::kDraining,
+                   .interval = Millis(200),
+                   .leaving = true},
+                  kSecond, now);
+  Pass(FlowRouter::kMinSilence * 4, {kFirst});
+  data.source.port = 1;
+  FromCaller(data);
+  router.OnAnswer({.flow = data.FromCaller(), .holding = Holding::kNotHeld}, {},
+                  kFirst, now, actions);
+  RouterActions end = Pass(FlowRouter::kSearchEnd * 3, {kFirst});
+  BOOST_TEST(Only<ResetCaller>(end).empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(APauseOfTheBalancerProvesNothing, RepeatableFlow) {
   now = now + Millis(4000);
   router.OnTick(now, actions);
--- a/filberthollow/decision/packet_messages.h
+++ b/filberthollow/decision/packet_messages.h
@@ -60,6 +60,9 @@
   UpstreamLoad load;
   uint64_t revision = 0;  // of the configuration in force at the agent
   base::Millis interval;  // until the next report
+  // The agent is about to stop beside an upstream that lives and keeps its
+  // flows: its silence says nothing of them.
+  bool leaving = false;
   friend bool operator==(const UpstreamReport&,
                          const UpstreamReport&) = default;
 };
--- a/filberthollow/decision/upstream_gate.cc
+++ b/filberthollow/decision/upstream_gate.cc
@@ -457,7 +457,9 @@
           .state = ReportedState(now),
           .silent = m_life.silent() || m_life.IsRefusing(now),
           .load = LoadNow(now),
-          .revision = m_routes->revision()};
+          .revision = m_routes->revision(),
+          .leaving = m_leaving && !m_life.IsAbsent(now) &&
+                     m_life.state() != UpstreamState::kGone};
 }
 
 }  // namespace filberthollow::decision
--- a/filberthollow/decision/upstream_gate.h
+++ b/filberthollow/decision/upstream_gate.h
@@ -98,6 +98,10 @@
 
   // Report returns what balancers are to know; the sender sets `interval`.
   UpstreamReport Report(base::Millis now) const;
+  // Returns whether the upstream has neither a request nor an offer to answer.
+  bool IsIdle() const {
+    return !m_offers_pending && m_meter.count() == 0 && m_queue.size() == 0;
+  }
   // Returns the flows in the table, closed ones included.
   size_t flows() const { return m_flows.size(); }
 
--- a/filberthollow/decision/upstream_gate_test.cc
+++ b/filberthollow/decision/upstream_gate_test.cc
@@ -298,6 +298,7 @@
   OpenFlow();
   gate.Leave();
   BOOST_TEST((gate.Report(now).state == UpstreamState::kDraining));
+  BOOST_TEST(gate.Report(now).leaving);
   flow::PacketHead other = Opening();
   other.source.port = 1;
   BOOST_TEST((RefusalOf(Forward(other)) == Reason::kDraining));
@@ -311,6 +312,19 @@
   now = now + Millis(1000) * UpstreamLife::kAbsentBeats +
         UpstreamLife::kAbsentSlack + Millis(1);
   BOOST_TEST((gate.Report(now).state == UpstreamState::kGone));
+  BOOST_TEST(!gate.Report(now).leaving);
+}
+
+// It is gone for less time if it ends between two requests.
+BOOST_FIXTURE_TEST_CASE(ALeavingAgentIsIdleBetweenRequests, Fixture) {
+  OpenFlow();
+  gate.Leave();
+  gate.OnTick(now, actions);
+  BOOST_TEST(gate.IsIdle());
+  Forward(Data(101, 500));
+  BOOST_TEST(!gate.IsIdle());
+  FromUpstream(UpstreamData(kUpstreamStart + 1, 100));
+  BOOST_TEST(gate.IsIdle());
 }
 
 BOOST_FIXTURE_TEST_CASE(ClosedAndIdleFlowsAreDropped, Fixture) {
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -59,6 +59,14 @@
   std::visit([this](const auto& m) { Handle(m); }, message);
 }
 
+void AgentTask::OnStopped() {
+  // A balancer that heard none of the earlier ones would miss this agent, and
+  // call the flows of its upstream lost.
+  if (leaving()) {
+    ReportToLively();
+  }
+}
+
 void AgentTask::Handle(const RoutesChanged& m) {
   m_gate.SetRoutes(m.routes);
   ReportToLively();
@@ -244,8 +252,15 @@
 void AgentTask::Decide() {
   m_gate.OnTick(Now(), m_actions);
   Act();
-  if (m_gate.Report(Now()).state == UpstreamState::kGone) {
+  EndIfLeft();
+}
+
+void AgentTask::EndIfLeft() {
+  decision::UpstreamReport report = m_gate.Report(Now());
+  if (report.state == UpstreamState::kGone) {
     EndIfQuiet(kLeaveQuiet, base::Millis(0));
+  } else if (report.leaving) {
+    EndIfQuiet(base::Millis(0), m_gate.IsIdle() ? kLeaveNews : kLeaveBusy);
   }
 }
 
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -34,6 +34,13 @@
   // kLeaveQuiet is how long a stopping agent goes on after its upstream has
   // ended: its last packets may still be on their way.
   static constexpr base::Millis kLeaveQuiet{300};
+  // kLeaveNews is how long a stopping agent beside a living upstream stays at
+  // least: balancers that have not heard of it yet offer it new flows.
+  static constexpr base::Millis kLeaveNews{100};
+  // kLeaveBusy is how long it waits for a moment without a request. Its
+  // upstream is out of reach until an agent stands there again, so it does not
+  // use up the grace.
+  static constexpr base::Millis kLeaveBusy{1000};
 
   AgentTask(const base::Clock& clock,
             kernel::Registry& registry,
@@ -44,6 +51,7 @@
  protected:
   void OnStart() override;
   void OnMessage(const PacketsMessage& message) override;
+  void OnStopped() override;
   void Decide() override;
   base::Millis DecideAgainIn() const override { return m_gate.TickDelay(); }
   void OnPeer(const wire::PacketMessage& message, base::Address from) override;
@@ -75,6 +83,8 @@
   void ActOn(const decision::RequestWaited& note);
   void ActOn(const decision::RequestAnswered& note);
   void ActOn(const decision::UpstreamSilence& note);
+  // Ends the process once this agent leaves and is not needed any more.
+  void EndIfLeft();
   void OnReportTimer();
   void OnSearchTimer();
   void ArmSearch();
--- a/filberthollow/platform/platform_fleet_test.py
+++ b/filberthollow/platform/platform_fleet_test.py
@@ -340,6 +340,22 @@
         wait_until(lambda: caller.ask(balancer, port, accepted, b"b"), 10,
                    "the flow is answered again")
 
+    def test_an_agent_stops_at_once_beside_a_living_upstream(self):
+        # Nobody reaches the upstream until an agent stands there again.
+        balancer = self.system.balancers[0]
+        caller = self.system.caller
+        port, accepted = caller.open(balancer)
+        self.assertIsNotNone(caller.ask(balancer, port, accepted, b"a"))
+        agent = self.system.running[self.first.host]
+        agent.send_signal(signal.SIGTERM)
+        self.assertEqual(agent.wait(3), 0)
+        time.sleep(1)  # longer than it takes to call an agent silent
+        caller.send(balancer, port, ACK, b"b", ack=accepted.seq + 1)
+        self.assertIsNone(caller.receive(port, 0.5))
+        self.system.start(self.first.host, "agent", first_start="false")
+        wait_until(lambda: caller.ask(balancer, port, accepted, b"c"), 10,
+                   "the flow is answered again")
+
     def test_a_stopping_balancer_is_not_ready_and_forwards_to_the_last(self):
         balancer = self.system.balancers[0]
         caller = self.system.caller
--- a/filberthollow/wire/packet_codec.cc
+++ b/filberthollow/wire/packet_codec.cc
@@ -110,6 +110,7 @@
   out.setRevision(m.revision);
   out.setIntervalMs(static_cast<uint16_t>(
       std::clamp<int64_t>(m.interval.count(), 0, UINT16_MAX)));
+  out.setLeaving(m.leaving);
 }
 
 bool Read(generated::UpstreamReport::Reader in, PacketMessage& out) {
@@ -124,7 +125,8 @@
       .silent = in.getSilent(),
       .load = Read(in.getLoad()),
       .revision = in.getRevision(),
-      .interval = base::Millis(in.getIntervalMs())};
+      .interval = base::Millis(in.getIntervalMs()),
+      .leaving = in.getLeaving()};
   return true;
 }
 
--- a/filberthollow/wire/packets.capnp
+++ b/filberthollow/wire/packets.capnp
@@ -48,6 +48,7 @@
   silent @5 :Bool;
   intervalMs @6 :UInt16;
   load @7 :UpstreamLoad;
+  leaving @8 :Bool;
 }
 
 struct BalancerHello {
