Log and count resets that upstreams send, and test counts under a flood

The upstream had crashed, its host reset the flow, and the agent passed the reset on without a line, so nobody could tell it from a reset of ours.

Change: event `upstream_reset` and counter `upstream_resets`: the flow, whether a request had no answer and for how long, the flow's age, the revision.

--- a/filberthollow/decision/gate_actions.h
+++ b/filberthollow/decision/gate_actions.h
@@ -71,6 +71,14 @@
   base::Millis took;
   friend bool operator==(RequestAnswered, RequestAnswered) = default;
 };
+// UpstreamReset: the upstream itself has reset a flow that was open.
+struct UpstreamReset {
+  flow::FlowEnds flow;
+  bool busy = false;        // a request had no answer yet,
+  base::Millis busy_for;    // for so long
+  base::Millis opened_ago;  // or since this agent has known it
+  friend bool operator==(const UpstreamReset&, const UpstreamReset&) = default;
+};
 // UpstreamSilence: the upstream has fallen silent, or is heard again.
 struct UpstreamSilence {
   bool silent = false;
@@ -89,6 +97,7 @@
                                 OfferDecided,
                                 RequestWaited,
                                 RequestAnswered,
+                                UpstreamReset,
                                 UpstreamSilence>;
 using GateActions = std::vector<GateAction>;
 
--- a/filberthollow/decision/upstream_gate.cc
+++ b/filberthollow/decision/upstream_gate.cc
@@ -246,6 +246,11 @@
   if (flow.busy && head.data_bytes > 0) {
     actions.emplace_back(RequestAnswered{now - flow.busy_since});
   }
+  if (head.resets && was_open) {
+    actions.emplace_back(UpstreamReset{
+        ends, flow.busy, flow.busy ? now - flow.busy_since : base::Millis(0),
+        now - flow.offered_at});
+  }
   NoteUpstreamPacket(flow, head, now);
   if (was_open && flow.stage == Stage::kClosed) {
     --m_open;
--- a/filberthollow/decision/upstream_gate_test.cc
+++ b/filberthollow/decision/upstream_gate_test.cc
@@ -420,5 +420,21 @@
   BOOST_TEST(Only<ToUpstream>(seen).size() == 1U);
 }
 
+// The on-call engineer has to tell whether the caller was cut off by its
+// upstream or by us.
+BOOST_FIXTURE_TEST_CASE(AResetOfTheUpstreamIsNoted, Fixture) {
+  OpenFlow();
+  Forward(Data(101, 500));
+  now = now + Millis(30);
+  flow::PacketHead reset = UpstreamData(kUpstreamStart + 1, 0);
+  reset.resets = true;
+  auto noted = Only<UpstreamReset>(FromUpstream(reset));
+  BOOST_REQUIRE(noted.size() == 1U);
+  BOOST_TEST((noted[0].flow == kDeskFlow));
+  BOOST_TEST(noted[0].busy);
+  BOOST_TEST((noted[0].busy_for == Millis(30)));
+  BOOST_TEST(Only<UpstreamReset>(FromUpstream(reset)).empty());  // a copy
+}
+
 }  // namespace
 }  // namespace filberthollow::decision
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -242,6 +242,16 @@
   m_metrics.Record("request_ms", note.took);
 }
 
+void AgentTask::ActOn(const decision::UpstreamReset& note) {
+  m_metrics.Add("upstream_resets");
+  base::Log(Level::kWarning, "upstream_reset",
+            {{"flow", note.flow.Text()},
+             {"busy", note.busy ? "yes" : "no"},
+             {"busy_for_ms", note.busy_for},
+             {"opened_ago_ms", note.opened_ago},
+             {"revision", m_gate.revision()}});
+}
+
 void AgentTask::ActOn(const decision::UpstreamSilence& note) {
   m_metrics.Add(note.silent ? "upstream_lost" : "upstream_regained");
   base::Log(Level::kWarning, note.silent ? "upstream_silent" : "upstream_heard",
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -82,6 +82,7 @@
   void ActOn(const decision::OfferDecided& note);
   void ActOn(const decision::RequestWaited& note);
   void ActOn(const decision::RequestAnswered& note);
+  void ActOn(const decision::UpstreamReset& note);
   void ActOn(const decision::UpstreamSilence& note);
   // Ends the process once this agent leaves and is not needed any more.
   void EndIfLeft();
--- a/filberthollow/platform/platform_fleet_test.py
+++ b/filberthollow/platform/platform_fleet_test.py
@@ -450,6 +450,50 @@
         self.assertIn("flow_offered", story)
         self.assertIn("flow_taken", story)
 
+    def metric(self, host, name):
+        _, text = http(f"{host}:9464", "/metrics")
+        values = [line.rsplit(" ", 1)[1] for line in text.splitlines()
+                  if line.startswith(f"filberthollow_{name} ")]
+        return float(values[0]) if values else 0.0
+
+    def test_a_flood_is_counted_whole_and_logged_in_part(self):
+        balancer, flood = self.system.balancers[0], 3000
+        no_route = 'refused_total{reason="no_route"}'
+        caller = self.system.caller
+        before = self.metric(balancer, no_route)
+        for sent in range(1, flood + 1):
+            caller.send(balancer, 20000 + sent, OPEN, route=OTHER_ROUTE)
+            if sent % 100 == 0:  # the socket's buffer holds a few hundred
+                wait_until(lambda n=sent: self.metric(
+                    balancer, no_route) - before == n, 10,
+                    "each refusal is counted")
+        time.sleep(1.1)  # the budget of the next second
+        caller.open(balancer, OTHER_ROUTE)
+        lines = wait_until(lambda: [
+            line for line in events_of(self.system.logs(), "flow_reset")
+            if line["process"] == f"balancer-{balancer}"
+            and line.get("held_back")], 5, "held back lines are told")
+        written = len([line for line in events_of(self.system.logs(),
+                                                  "flow_reset")
+                       if line["process"] == f"balancer-{balancer}"])
+        held_back = sum(int(line["held_back"]) for line in lines)
+        self.assertEqual(written + held_back, flood + 1)
+        self.assertLess(written, flood)
+
+    def test_a_reset_of_the_upstream_is_told_apart_from_ours(self):
+        balancer = self.system.balancers[0]
+        port, accepted = self.system.caller.open(balancer)
+        self.system.caller.ask(balancer, port, accepted, b"a")
+        me, caller = (ROUTE, ROUTE_PORT), (self.system.caller.host, port)
+        self.first._send(packet(me, caller, RESET, self.first.first_seq + 20))
+        flow = f"{caller[0]}:{port}>{ROUTE}:{ROUTE_PORT}"
+        line = wait_until(lambda: [
+            line for line in events_of(self.system.logs(), "upstream_reset")
+            if line["flow"] == flow], 5, "the reset is logged")[0]
+        self.assertTrue({"busy", "busy_for_ms", "opened_ago_ms", "revision"}
+                        <= line.keys())
+        self.assertEqual(self.metric(self.first.host, "upstream_resets"), 1)
+
     def test_metrics_are_served(self):
         status, text = http(f"{self.first.host}:9464", "/metrics")
         self.assertEqual(status, 200)
