Tell when a peer's configuration is newer, and from whom it is taken

Cause: in config-during-outage two balancers learnt three revisions from peers, 0.3 s after the others, while the store was silent towards them; no line said why (a watch that waits does not fail), and one refused a flow by revision 8 when 9 was in force elsewhere.

Change: event `config_behind` with both revisions, the peer, and whether the store is taken to be reachable. Test: an agent that learns a configuration tells from which balancer.

--- a/filberthollow/config/fleet_config_task.cc
+++ b/filberthollow/config/fleet_config_task.cc
@@ -50,6 +50,12 @@
     m_behind = false;
     if (m.revision > m_state.revision()) {
       m_metrics.Add("config_behind_peer");
+      // The store may be silent towards this host alone.
+      base::Log(Level::kWarning, "config_behind",
+                {{"revision", m_state.revision()},
+                 {"peer", m.peer.Text()},
+                 {"peer_revision", m.revision},
+                 {"platform_reachable", m_reachable ? "yes" : "no"}});
       m_listeners.on_behind(m.peer);
     }
   });
--- a/filberthollow/platform/platform_fleet_test.py
+++ b/filberthollow/platform/platform_fleet_test.py
@@ -494,6 +494,20 @@
                         <= line.keys())
         self.assertEqual(self.metric(self.first.host, "upstream_resets"), 1)
 
+    def test_a_configuration_learnt_from_a_peer_is_told(self):
+        # Agents do not watch the store; a balancer's hello tells them.
+        self.system.configure([ROUTE, OTHER_ROUTE])
+        line = wait_until(lambda: [
+            line for line in events_of(self.system.logs(), "config_behind")
+            if line["process"] == f"agent-{self.first.host}"
+            and line["revision"] > 0], 5, "the agent is behind")[0]
+        self.assertGreater(line["peer_revision"], line["revision"])
+        self.assertIn(line["peer"].split(":")[0], self.system.balancers)
+        wait_until(lambda: [
+            line for line in events_of(self.system.logs(), "config_in_force")
+            if line["process"] == f"agent-{self.first.host}"
+            and line["revision"] > 1], 5, "the configuration is in force")
+
     def test_metrics_are_served(self):
         status, text = http(f"{self.first.host}:9464", "/metrics")
         self.assertEqual(status, 200)
