--- a/filberthollow/config/fleet_config_task.cc
+++ b/filberthollow/config/fleet_config_task.cc
@@ -50,17 +50,26 @@
     m_behind = false;
     if (m.revision > m_state.revision()) {
       m_metrics.Add("config_behind_peer");
-      // The store may be silent towards this host alone.
-      base::Log(Level::kWarning, "config_behind",
-                {{"revision", m_state.revision()},
-                 {"peer", m.peer.Text()},
-                 {"peer_revision", m.revision},
-                 {"platform_reachable", m_reachable ? "yes" : "no"}});
+      NoteBehind(m);
       m_listeners.on_behind(m.peer);
     }
   });
 }
 
+void FleetConfigTask::NoteBehind(const NewerRevision& m) {
+  if (m.revision <= m_noted_behind) {
+    return;
+  }
+  m_noted_behind = m.revision;
+  // For a process that watches it is a sign that the store is silent towards
+  // this host alone.
+  base::Log(m_options.watches ? Level::kWarning : Level::kInfo, "config_behind",
+            {{"revision", m_state.revision()},
+             {"peer", m.peer.Text()},
+             {"peer_revision", m.revision},
+             {"platform_reachable", m_reachable ? "yes" : "no"}});
+}
+
 void FleetConfigTask::Handle(const BalancersWanted& /*m*/) {
   if (!m_listing) {
     ListPeers();
--- a/filberthollow/config/fleet_config_task.h
+++ b/filberthollow/config/fleet_config_task.h
@@ -71,6 +71,8 @@
   void Handle(const ObjectsFound& m);
   void Handle(const admin::ReportQuery& m);
 
+  // Logs, once a revision, that a peer holds a newer configuration.
+  void NoteBehind(const NewerRevision& m);
   void Watch(base::Millis wait);
   void OnWatched(const base::Result<platform::WatchAnswer>& answer);
   void Publish(const ConfigChange& change);
@@ -88,7 +90,8 @@
   Backoff m_register_backoff;
   ConfigState m_state;
   KeyActivation m_activation;
-  uint64_t m_watched_to = 0;  // revision up to which the watch has told all
+  uint64_t m_watched_to = 0;    // revision up to which the watch has told all
+  uint64_t m_noted_behind = 0;  // newest revision at a peer that was logged
   bool m_reachable = true;
   bool m_behind = false;   // a check is due
   bool m_listing = false;  // the bootstrap addresses are being read
--- a/filberthollow/platform/platform_fleet_test.py
+++ b/filberthollow/platform/platform_fleet_test.py
@@ -245,6 +245,10 @@
             line for line in events_of(self.system.logs(), "config_in_force")
             if line["process"] == f"agent-{self.first.host}"
             and line["revision"] > 1], 5, "the configuration is in force")
+        told = [line["peer_revision"] for line in
+                events_of(self.system.logs(), "config_behind")
+                if line["process"] == f"agent-{self.first.host}"]
+        self.assertEqual(len(told), len(set(told)), "each revision once")
 
     def test_metrics_are_served(self):
         status, text = http(f"{self.first.host}:9464", "/metrics")
--- a/tools/mutation-check.py
+++ b/tools/mutation-check.py
@@ -3,6 +3,9 @@
 Makes one change at a time in a scratch work tree, builds the named test there,
 runs it and expects it to fail. Prints a line for each; exit code 1 if a test
 passes all the same.
+
+    tools/mutation-check.py            every change
+    tools/mutation-check.py decision/flow   those of files that begin so
 """
 
 import os
@@ -66,6 +69,31 @@
      "if (false) {", "wire_codec_test"),
     ("wire/sealed.cc", "if (seal[0] != epoch || ", "if (false && ",
      "wire_codec_test"),
+    ("config/key_activation.cc", "std::max(next - m_wall(), "
+     "base::Millis(0))", "base::Millis(3'600'000)",
+     "config_key_activation_test"),
+    ("flow/token.cc", "if (epoch > m_signing) {", "if (false) {",
+     "config_key_activation_test"),
+    ("decision/flow_router.cc", "&& !found->second.report.leaving", "",
+     "decision_flow_router_test"),
+    ("decision/flow_router.cc", "KnowsAllAgents(now) && !guessed",
+     "!guessed", "decision_flow_router_test"),
+    ("decision/flow_router.cc", "m_isolated = heard * kIsolatedPart < known;",
+     "m_isolated = false;", "decision_flow_router_test"),
+    ("decision/upstream_gate.cc",
+     "m_life.state() != UpstreamState::kReady || m_leaving",
+     "m_life.state() != UpstreamState::kReady", "decision_upstream_gate_test"),
+    ("decision/upstream_gate.cc", "if (head.resets && was_open) {",
+     "if (false) {", "decision_upstream_gate_test"),
+    ("decision/request_queue.cc", "m_waiting.empty()", "true",
+     "decision_request_queue_test"),
+    ("decision/balancer_set.cc", "staying.resize(kNamed);", "",
+     "decision_balancer_set_test"),
+    ("decision/balancer_set.cc", "entry.silent = silent;", "",
+     "decision_balancer_set_test"),
+    ("settings/process_file.cc", "text.append(part.data(), "
+     "static_cast<size_t>(in.gcount()));", "text.append(part.data(), "
+     "part.size());", "settings_process_file_test"),
 ]
 
 
@@ -99,7 +127,8 @@
     run(["git", "worktree", "add", "--force", "--detach", str(TREE)], ROOT)
     run(["cmake", "--preset", "release"], TREE)
     bad = 0
-    for mutant in MUTANTS:
+    prefix = sys.argv[1] if len(sys.argv) > 1 else ""
+    for mutant in [m for m in MUTANTS if m[0].startswith(prefix)]:
         result = check(mutant)
         bad += not result.startswith("fails")
         print(f"{mutant[0]}: {mutant[3]}: {result}", flush=True)
