--- a/tools/days.py
+++ b/tools/days.py
@@ -45,7 +45,7 @@
     ("slow-sides", "faults", "node_slow", 'on = "side", share = 0.4, x = 5.0, for_s = 6.0'),
     ("roll-fronts", "plan", "roll_term", "share = 1.0, x = 2, gap_s = 0.7"),
     ("roll-sides", "plan", "roll_term", 'on = "side", share = 0.5, gap_s = 0.7'),
-    ("roll-remove", "plan", "roll_term", 'share = 0.4, gap_s = 1.0, how = "remove"'),
+    ("roll-remove", "plan", "roll_term", 'count = 1, how = "remove"'),
     ("herd-kill", "faults", "herd_kill", "share = 0.7"),
     ("herd-power", "faults", "herd_kill", 'share = 0.6, how = "power", for_s = 2.0'),
     ("herd-sides", "faults", "herd_kill", 'on = "side", share = 0.5'),
