--- a/tools/run-sanitized.sh
+++ b/tools/run-sanitized.sh
@@ -3,6 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 for preset in asan tsan; do
-  tools/build.sh "$preset"
-  ctest --test-dir "build/$preset" --output-on-failure -j 6 -E "benchmark"
+  ./run-tests.sh "$preset"
 done
