Move the fleet of passed-through flows into platform/: it speaks the wire

The test support that demo and test share holds names of the platform's wire, which belong in the adapter's folder only.

--- a/filberthollow/testing/passthrough_fleet.py
+++ b/filberthollow/platform/platform_fleet.py
@@ -14,11 +14,15 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
 
-from fleet import BIN, Process, http, wait_until
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "filberthollow/testing"))
+
+from fleet import BIN, Process, http, wait_until  # noqa: E402
 
 HEAD = struct.Struct("<IIIIHHHIBBI")
 ACK, RESET, FINISH, OPEN, BOUNCED = 1, 8, 16, 32, 128
--- a/filberthollow/platform/platform_fleet_test.py
+++ b/filberthollow/platform/platform_fleet_test.py
@@ -13,7 +13,7 @@
 sys.path.insert(0, str(ROOT / "filberthollow/testing"))
 
 from fleet import BIN, events_of, http, wait_until  # noqa: E402
-from passthrough_fleet import (  # noqa: E402
+from platform_fleet import (  # noqa: E402
     ACK, NET, OPEN, OTHER_ROUTE, PORTS, RESET, ROUTE, ROUTE_PORT, System,
     packet, replace)
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -7,10 +7,11 @@
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
-sys.path.insert(0, str(ROOT / "filberthollow/testing"))
+sys.path[:0] = [str(ROOT / "filberthollow/testing"),
+                str(ROOT / "filberthollow/platform")]
 
 from fleet import BIN, Fleet, check_runs, wait_until  # noqa: E402
-from passthrough_fleet import OPEN, ROUTE, ROUTE_PORT, System  # noqa: E402
+from platform_fleet import OPEN, ROUTE, ROUTE_PORT, System  # noqa: E402
 
 TREE = {
     "settings": {"slots": 4},
