Name the same balancers in all hellos of a turn

Cause: the list moved on with each hello. With 1,000 balancers and 1,000 hellos a turn, 16 names each, the list came round to the same place, so each peer would have been told the same 16 names every turn. Found by reading.

Change: Named() stays the same until NextTurn(), which the hello timer calls; each peer is greeted once a turn. Test: names within a turn are the same, and all 1,000 come in 63 turns.

--- a/filberthollow/config/key_activation.h
+++ b/filberthollow/config/key_activation.h
@@ -2,8 +2,7 @@
 //
 //   KeyActivation activation(loop, &base::WallMillis,
 //                            [this](base::Millis wall) { Activate(wall); });
-//   activation.Arm(keys);  // after each change of the keys, activation
-//   included
+//   activation.Arm(keys);  // whenever the keys changed or one was activated
 #ifndef FILBERTHOLLOW_CONFIG_KEY_ACTIVATION_H_
 #define FILBERTHOLLOW_CONFIG_KEY_ACTIVATION_H_
 
--- a/filberthollow/decision/balancer_set.cc
+++ b/filberthollow/decision/balancer_set.cc
@@ -91,16 +91,22 @@
   });
 }
 
-std::vector<base::Address> BalancerSet::NextNamed(base::Millis now) {
+std::vector<base::Address> BalancerSet::Named(base::Millis now) const {
   std::vector<base::Address> staying = Staying(now);
   if (staying.size() <= kNamed) {
     return staying;
   }
-  auto next = std::upper_bound(staying.begin(), staying.end(), m_last_named);
-  std::rotate(staying.begin(), next, staying.end());
+  auto first = std::upper_bound(staying.begin(), staying.end(), m_named_from);
+  std::rotate(staying.begin(), first, staying.end());
   staying.resize(kNamed);
-  m_last_named = staying.back();
   return staying;
 }
 
+void BalancerSet::NextTurn(base::Millis now) {
+  std::vector<base::Address> named = Named(now);
+  if (!named.empty()) {
+    m_named_from = named.back();
+  }
+}
+
 }  // namespace filberthollow::decision
--- a/filberthollow/decision/balancer_set.h
+++ b/filberthollow/decision/balancer_set.h
@@ -63,11 +63,13 @@
   std::vector<base::Address> Silent(base::Millis now) const;
   // Staying returns the lively ones that are not leaving.
   std::vector<base::Address> Staying(base::Millis now) const;
-  // NextNamed returns staying balancers for one hello to name: all of them, or
-  // in a larger fleet the next kNamed in turn, so that a hello stays small and
-  // every balancer is named in time.
+  // Named returns the staying balancers that hellos name at present: all of
+  // them, or in a larger fleet kNamed, so that a hello stays small. After
+  // NextTurn() they are the next ones; each peer is to be greeted once a turn,
+  // and so hears of all in time.
   static constexpr size_t kNamed = 16;
-  std::vector<base::Address> NextNamed(base::Millis now);
+  std::vector<base::Address> Named(base::Millis now) const;
+  void NextTurn(base::Millis now);
   // IsTeller returns whether this balancer is one of the kTellers that bring
   // news to `peer`. Balancers that know the same fleet agree on them, by
   // rendezvous hashing; without it each peer would hear all news from all.
@@ -91,7 +93,7 @@
   const base::Address m_self;
   base::Millis m_interval{1000};
   std::map<base::Address, Entry> m_balancers;
-  base::Address m_last_named;
+  base::Address m_named_from;  // hellos name those after it
 };
 
 }  // namespace filberthollow::decision
--- a/filberthollow/decision/balancer_set_test.cc
+++ b/filberthollow/decision/balancer_set_test.cc
@@ -110,10 +110,13 @@
     set.Hear({100 + i, 10}, kRun, false, Millis(0));
   }
   std::set<Address> named;
-  for (size_t hello = 0; hello <= kFleet / BalancerSet::kNamed; ++hello) {
-    std::vector<Address> some = set.NextNamed(Millis(1));
+  for (size_t turn = 0; turn <= kFleet / BalancerSet::kNamed; ++turn) {
+    std::vector<Address> some = set.Named(Millis(1));
     BOOST_TEST(some.size() == BalancerSet::kNamed);
+    // Had each hello its own names, a peer could get the same ones each turn.
+    BOOST_TEST((set.Named(Millis(1)) == some));
     named.insert(some.begin(), some.end());
+    set.NextTurn(Millis(1));
   }
   BOOST_TEST(named.size() == kFleet);
 }
@@ -121,7 +124,7 @@
 BOOST_AUTO_TEST_CASE(AHelloOfASmallFleetNamesAll) {
   BalancerSet set(kSelf);
   set.Hear(kOther, kRun, false, Millis(0));
-  BOOST_TEST((set.NextNamed(Millis(1)) == std::vector{kOther}));
+  BOOST_TEST((set.Named(Millis(1)) == std::vector{kOther}));
 }
 
 }  // namespace
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -217,6 +217,7 @@
   m_balancers.SetHelloInterval(interval);
   loop().After(interval, [this] { OnHelloTimer(); });
   m_balancers.Forget(Now());
+  m_balancers.NextTurn(Now());
   std::erase_if(m_greeted, [this](const auto& entry) {
     return Now() - entry.second > decision::FlowRouter::kForgetAgent;
   });
@@ -236,7 +237,7 @@
   SendToPeer(decision::BalancerHello{.revision = m_router.revision(),
                                      .run = m_run,
                                      .leaving = leaving(),
-                                     .balancers = m_balancers.NextNamed(Now()),
+                                     .balancers = m_balancers.Named(Now()),
                                      .newcomer = newcomer},
              to);
 }
