Bad links: one relay towards both balancers; the known red is traced

Cause of the 2999 of 3000: the test. Its two relays gave each caller two addresses, one for each balancer, and a flow token counts only from the address that it was given to. So besides the 5% that the links lose, every second datagram of a flow was dropped as `bad_token` (710 for 600 requests). A request needed 20 tries in a row that failed, about 1 in 300,000: one run in a hundred. It showed in the figures too: p50 406 ms, p99 6.5 to 10.3 s, where the links delay by 1 to 20 ms.

Ruled out: load (p99 10.3 s in release on an idle machine); a stuck exchange at the agent (no request was running or waiting when the run ended).

Change: one relay sends each datagram to a balancer drawn at random, from one address a caller, which is what the test is about. As strict as before: loss, repeats, delays, 3,000 answered within 20 s, nothing run twice; and now no token may be refused.

--- a/filberthollow/testing/link_relay.py
+++ b/filberthollow/testing/link_relay.py
@@ -1,10 +1,12 @@
 """A datagram relay that loses, repeats, delays and reorders, by a fixed seed.
 
-    with LinkRelay(balancer_address, seed=7, loss=0.1) as relay:
+    with LinkRelay([one_balancer, another], seed=7, loss=0.1) as relay:
         call through relay.address
 
-Each caller gets a socket of its own towards the balancer, so that the balancer
-sees one address for each. Bounded: it ends with the `with` block.
+Each datagram goes to a balancer drawn at random. Each caller gets a socket of
+its own towards all of them, so that every balancer sees the same address for it:
+a flow token counts only from the address that it was given to. Bounded: it ends
+with the `with` block.
 """
 
 import heapq
@@ -25,8 +27,8 @@
 
 class LinkRelay:
 
-    def __init__(self, target, seed, loss=0.0, repeat=0.0, delay=(0.0, 0.0)):
-        self.target = parse(target)
+    def __init__(self, targets, seed, loss=0.0, repeat=0.0, delay=(0.0, 0.0)):
+        self.targets = [parse(target) for target in targets]
         self.random = random.Random(seed)
         self.loss, self.repeat, self.delay = loss, repeat, delay
         self.cut = False
@@ -79,7 +81,8 @@
             for key, _ in self.selector.select(wait):
                 data, source = key.fileobj.recvfrom(MAX_DATAGRAM)
                 if key.data is None:
-                    self._take(self._back(source), data, self.target)
+                    self._take(self._back(source), data,
+                               self.random.choice(self.targets))
                 else:
                     self._take(self.front, data, key.data)
             now = time.monotonic()
--- a/filberthollow/testing/links_fleet_test.py
+++ b/filberthollow/testing/links_fleet_test.py
@@ -17,17 +17,34 @@
 
 class LinksTest(unittest.TestCase):
 
-    def call_through(self, relays, fleet, **options):
-        return fleet.call(
-            balancers=",".join(r.address for r in relays), **options)
+    def call_through(self, relay, fleet, **options):
+        return fleet.call(balancers=relay.address, **options)
+
+    def test_bad_links_repeat_and_lose_nothing(self):
+        with Fleet(TREE) as f:
+            f.start(balancers=2, desk=2)
+            with LinkRelay([b.at["callers"] for b in f.balancers], SEED,
+                           **BAD_LINK) as relay:
+                result = self.call_through(
+                    relay, f, service="desk", requests=3000, flows=60,
+                    updates=60, timeout_ms=20_000)
+            self.assertGreater(relay.counts["lost"], 100)
+            self.assertGreater(relay.counts["repeated"], 100)
+            for balancer in f.balancers:
+                self.assertEqual(balancer.metric("dropped_total",
+                                                 reason="bad_token"), 0)
+            self.assertEqual(result["outcomes"]["answered"], 3000)
+            self.assertEqual(result["wrong_answers"], 0)
+            self.assertEqual(
+                check_runs(result, [t.log() for t in f.targets]), [])
 
     def test_large_answers_survive_bad_links(self):
         with Fleet(TREE) as f:
             f.start(balancers=1, maps=1)
-            with LinkRelay(f.balancers[0].at["callers"], SEED,
+            with LinkRelay([f.balancers[0].at["callers"]], SEED,
                            **BAD_LINK) as relay:
                 result = self.call_through(
-                    [relay], f, service="maps", requests=2, flows=2,
+                    relay, f, service="maps", requests=2, flows=2,
                     drawings=100, drawing_bytes=2_000_000, timeout_ms=60_000)
             self.assertEqual(result["outcomes"]["answered"], 2)
             self.assertEqual(result["bytes"], 4_000_000)
@@ -36,14 +53,14 @@
     def test_a_cut_link_gives_unknown_and_heals(self):
         with Fleet(TREE) as f:
             f.start(balancers=1, desk=1)
-            with LinkRelay(f.balancers[0].at["callers"], SEED) as relay:
+            with LinkRelay([f.balancers[0].at["callers"]], SEED) as relay:
                 relay.cut = True
-                cut = self.call_through([relay], f, service="desk",
+                cut = self.call_through(relay, f, service="desk",
                                         requests=2, timeout_ms=1500)
                 # Nothing was ever bound, so nothing can have run.
                 self.assertEqual(cut["outcomes"]["not_run"], 2)
                 relay.cut = False
-                healed = self.call_through([relay], f, service="desk",
+                healed = self.call_through(relay, f, service="desk",
                                            requests=20, updates=50, seed=2)
                 self.assertEqual(healed["outcomes"]["answered"], 20)
             self.assertEqual(
