Read the change again: one file for following settings, less said twice

- A report's `leaving` follows from its state instead of asking the upstream's life a second time.
- The two series of encoded bytes share a function; three cases of platform_fleet_test share their opening.

--- a/filberthollow/decision/upstream_gate.cc
+++ b/filberthollow/decision/upstream_gate.cc
@@ -456,15 +456,15 @@
 }
 
 UpstreamReport UpstreamGate::Report(base::Millis now) const {
+  UpstreamState state = ReportedState(now);
   return {.service = m_options.service,
           .data_centre = m_options.data_centre,
           .run = m_life.run(),
-          .state = ReportedState(now),
+          .state = state,
           .silent = m_life.silent() || m_life.IsRefusing(now),
           .load = LoadNow(now),
           .revision = m_routes->revision(),
-          .leaving = m_leaving && !m_life.IsAbsent(now) &&
-                     m_life.state() != UpstreamState::kGone};
+          .leaving = m_leaving && state != UpstreamState::kGone};
 }
 
 }  // namespace filberthollow::decision
--- a/filberthollow/measure/packet_slopes.cc
+++ b/filberthollow/measure/packet_slopes.cc
@@ -82,6 +82,18 @@
   return gate;
 }
 
+// Returns the bytes of the message that `make` returns for each size.
+template <class Make>
+std::vector<Point> EncodedBytes(const Sizes& sizes, Make make) {
+  std::vector<Point> points;
+  for (uint32_t size : sizes) {
+    std::string datagram = wire::EncodePacketMessage(make(size));
+    points.push_back(
+        {static_cast<double>(size), static_cast<double>(datagram.size())});
+  }
+  return points;
+}
+
 }  // namespace
 
 Series RouterAgentMemory(const Sizes& agents) {
@@ -163,29 +175,22 @@
 }
 
 Series ReportBytes(const Sizes& loads) {
-  Series series{"report_bytes", "load", "bytes", {}};
-  for (uint32_t size : loads) {
-    decision::UpstreamReport report{
-        .load = {.busy = static_cast<uint16_t>(size)}};
-    series.points.push_back(
-        {static_cast<double>(size),
-         static_cast<double>(wire::EncodePacketMessage(report).size())});
-  }
-  return series;
+  return {"report_bytes", "load", "bytes",
+          EncodedBytes(loads, [](uint32_t size) {
+            return decision::UpstreamReport{
+                .load = {.busy = static_cast<uint16_t>(size)}};
+          })};
 }
 
 Series HelloBytes(const Sizes& named) {
-  Series series{"hello_bytes", "balancers named", "bytes", {}};
-  for (uint32_t size : named) {
-    decision::BalancerHello hello;
-    for (uint32_t i = 0; i < size; ++i) {
-      hello.balancers.push_back(AgentAddress(i));
-    }
-    series.points.push_back(
-        {static_cast<double>(size),
-         static_cast<double>(wire::EncodePacketMessage(hello).size())});
-  }
-  return series;
+  return {"hello_bytes", "balancers named", "bytes",
+          EncodedBytes(named, [](uint32_t size) {
+            decision::BalancerHello hello;
+            for (uint32_t i = 0; i < size; ++i) {
+              hello.balancers.push_back(AgentAddress(i));
+            }
+            return hello;
+          })};
 }
 
 }  // namespace filberthollow::measure
--- a/filberthollow/passthrough/node_process.cc
+++ b/filberthollow/passthrough/node_process.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <random>
-#include <string>
 #include <utility>
 
 #include "filberthollow/admin/admin_task.h"
@@ -11,6 +10,7 @@
 #include "filberthollow/passthrough/agent_task.h"
 #include "filberthollow/passthrough/balancer_task.h"
 #include "filberthollow/passthrough/control_task.h"
+#include "filberthollow/passthrough/settings_watch.h"
 
 namespace filberthollow::passthrough {
 namespace {
@@ -19,9 +19,6 @@
 
 // The part of the stop grace that is left for ending in order.
 constexpr base::Millis kStopMargin{800};
-// How often the settings file is read again: it may change without a signal,
-// and seeds are known to be out of date after 3 s.
-constexpr base::Millis kSettingsCheck{1000};
 // A balancer's own watch mostly brings a change within moments.
 constexpr base::Millis kBalancerBehindPatience{300};
 
@@ -57,44 +54,6 @@
               }};
 }
 
-// SettingsWatch follows the settings file while the process runs.
-class SettingsWatch {
- public:
-  SettingsWatch(kernel::Registry& registry,
-                const Adapter& adapter,
-                NodeFile file)
-      : m_registry(registry), m_adapter(adapter), m_file(std::move(file)) {}
-
-  // Reads the file. New seeds and a new stop grace are used from now on; the
-  // rest needs a restart. A file that is wrong changes nothing.
-  void Check() {
-    auto file = m_adapter.read_settings();
-    std::string refused = file ? "" : file.error().Text();
-    if (refused != m_refused && !refused.empty()) {
-      base::Log(Level::kError, "settings_refused", {{"error", refused}});
-    }
-    m_refused = std::move(refused);
-    if (!file || *file == m_file) {
-      return;
-    }
-    NodeFile usable = m_file;
-    usable.seeds = file->seeds;
-    usable.stop_grace = file->stop_grace;
-    base::Log(Level::kInfo, "settings_changed",
-              {{"seeds", file->seeds.size()},
-               {"needs_restart", usable == *file ? "no" : "yes"}});
-    m_file = std::move(*file);
-    m_registry.Post(kPacketsService, PacketsMessage(PeersFound{m_file.seeds}));
-  }
-  const NodeFile& file() const { return m_file; }
-
- private:
-  kernel::Registry& m_registry;
-  const Adapter& m_adapter;
-  NodeFile m_file;
-  std::string m_refused;  // why the last file was refused, if it was
-};
-
 // Sleeps until the process is to stop; returns the settings at that time.
 NodeFile WaitForStop(kernel::Registry& registry,
                      const Adapter& adapter,
@@ -103,7 +62,8 @@
   kernel::Wakeup wakeup = kernel::Wakeup::kTimeout;
   while (wakeup == kernel::Wakeup::kTimeout ||
          wakeup == kernel::Wakeup::kReload) {
-    wakeup = kernel::WaitForWakeup(static_cast<int>(kSettingsCheck.count()));
+    wakeup = kernel::WaitForWakeup(
+        static_cast<int>(SettingsWatch::kInterval.count()));
     settings.Check();
   }
   return settings.file();
--- a/filberthollow/platform/platform_fleet_test.py
+++ b/filberthollow/platform/platform_fleet_test.py
@@ -66,11 +66,16 @@
         self.assertEqual(self.system.caller.ask(
             balancer, port, accepted, b"late").data, b"answer to late")
 
-    def test_a_flow_outlives_the_agent_beside_its_upstream(self):
+    def flow_in_use(self):
+        """Returns a flow at the first balancer that has had an answer."""
         balancer = self.system.balancers[0]
-        caller = self.system.caller
-        port, accepted = caller.open(balancer)
-        self.assertIsNotNone(caller.ask(balancer, port, accepted, b"a"))
+        port, accepted = self.system.caller.open(balancer)
+        self.assertIsNotNone(
+            self.system.caller.ask(balancer, port, accepted, b"a"))
+        return self.system.caller, balancer, port, accepted
+
+    def test_a_flow_outlives_the_agent_beside_its_upstream(self):
+        caller, balancer, port, accepted = self.flow_in_use()
         agent = self.system.running[self.first.host]
         agent.kill()
         agent.wait(10)
@@ -80,10 +85,7 @@
 
     def test_an_agent_stops_at_once_beside_a_living_upstream(self):
         # Nobody reaches the upstream until an agent stands there again.
-        balancer = self.system.balancers[0]
-        caller = self.system.caller
-        port, accepted = caller.open(balancer)
-        self.assertIsNotNone(caller.ask(balancer, port, accepted, b"a"))
+        caller, balancer, port, accepted = self.flow_in_use()
         agent = self.system.running[self.first.host]
         agent.send_signal(signal.SIGTERM)
         self.assertEqual(agent.wait(3), 0)
@@ -219,12 +221,10 @@
         self.assertLess(written, flood)
 
     def test_a_reset_of_the_upstream_is_told_apart_from_ours(self):
-        balancer = self.system.balancers[0]
-        port, accepted = self.system.caller.open(balancer)
-        self.system.caller.ask(balancer, port, accepted, b"a")
-        me, caller = (ROUTE, ROUTE_PORT), (self.system.caller.host, port)
-        self.first.send(packet(me, caller, RESET, self.first.first_seq + 20))
-        flow = f"{caller[0]}:{port}>{ROUTE}:{ROUTE_PORT}"
+        caller, _, port, _ = self.flow_in_use()
+        self.first.send(packet((ROUTE, ROUTE_PORT), (caller.host, port), RESET,
+                               self.first.first_seq + 20))
+        flow = f"{caller.host}:{port}>{ROUTE}:{ROUTE_PORT}"
         line = wait_until(lambda: [
             line for line in events_of(self.system.logs(), "upstream_reset")
             if line["flow"] == flow], 5, "the reset is logged")[0]
