--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -124,6 +124,9 @@
   }
   if (auto head = ReadHead(bytes)) {
     NotePacket();
+    if (head->bounced) {
+      m_metrics.Add("packets_bounced");
+    }
     m_gate.OnUpstreamPacket(bytes, *head, Now(), m_actions);
     Act();
   }
@@ -198,6 +201,8 @@
 void AgentTask::ActOn(const decision::AnswerBalancer& action) {
   if (action.answer.holding == decision::Holding::kRefused) {
     m_metrics.Count(action.answer.reason);
+  } else if (!action.answer.packet.empty()) {
+    m_metrics.Add("packets_stray");
   }
   SendToPeer(action.answer, action.balancer);
 }
--- a/filberthollow/platform/platform_fleet_test.py
+++ b/filberthollow/platform/platform_fleet_test.py
@@ -250,6 +250,18 @@
                 if line["process"] == f"agent-{self.first.host}"]
         self.assertEqual(len(told), len(set(told)), "each revision once")
 
+    def test_bounced_and_stray_packets_are_counted(self):
+        caller, balancer, port, accepted = self.flow_in_use()
+        agent = self.first.host
+        self.first.flows.clear()
+        self.assertEqual(caller.ask(balancer, port, accepted, b"b").flags,
+                         RESET)
+        self.assertEqual(self.metric(agent, "packets_bounced"), 1)
+        self.assertEqual(self.metric(agent, "packets_stray"), 0)
+        caller.send(balancer, port, ACK, b"c", ack=accepted.seq + 1)
+        wait_until(lambda: self.metric(agent, "packets_stray") == 1, 5,
+                   "a packet that comes to the wrong agent is counted")
+
     def test_metrics_are_served(self):
         status, text = http(f"{self.first.host}:9464", "/metrics")
         self.assertEqual(status, 200)
