Tell callers soon that their flows are gone: agents answer guesses, searches wait

One agent had missed the first heartbeat of its new upstream, so it could not rule out older flows (kUnsure) for a minute; each search ended in a guess at it, the upstream handed the packet back, and nobody learnt from that. Second, a balancer that had just started dropped packets that nobody seemed to hold, and the caller repeated them only after 0.2 to 1.6 s.

Ruled out: resets that are lost or not valid (none was sent; the log has no no_such_flow after 34 s).

Change: an agent remembers guesses (decision/flow_guesses); a packet handed back makes it sure and goes back to the balancer, a packet of the upstream confirms the guess. A search sends each packet once to each unsure agent, goes on until all agents must be known, and asks those that are heard of meanwhile. An agent that has restarted takes what the caller has sent from the upstream's acknowledgements: copies of answered requests counted as work for a second. The search has a file of its own.

--- a/filberthollow/decision/flow_router.cc
+++ b/filberthollow/decision/flow_router.cc
@@ -199,68 +199,6 @@
       SendForward{known->second.agent, NewForward(std::string(packet), false)});
 }
 
-void FlowRouter::StartSearch(std::string_view packet,
-                             const PacketHead& head,
-                             base::Millis now,
-                             RouterActions& actions) {
-  FlowEnds ends = head.FromCaller();
-  auto found = m_searches.find(ends);
-  if (found == m_searches.end() &&
-      (m_searches.size() >= kMaxSearches || m_agents.empty())) {
-    actions.emplace_back(DropPacket{Reason::kNotReady});
-    return;
-  }
-  bool begins = found == m_searches.end();
-  Search& search = m_searches[ends];
-  if (begins) {
-    search.started_at = now;
-    search.acknowledged = head.acknowledged;
-    const CompiledRoute* route = m_routes->Find(ends.route);
-    Ask(
-        ends, search,
-        [route](const Agent& agent) {
-          return route == nullptr || route->Allows(agent.report.service);
-        },
-        now, actions);
-    if (search.asked.empty()) {
-      Widen(ends, search, now, actions);
-    }
-  }
-  search.acknowledged = head.acknowledged;
-  search.wants_answer = search.wants_answer || head.data_bytes > 0;
-  if (search.packets.size() < kMaxHeldPackets) {
-    search.packets.emplace_back(packet);
-  }
-}
-
-template <class Wanted>
-void FlowRouter::Ask(const FlowEnds& ends,
-                     Search& search,
-                     Wanted wanted,
-                     base::Millis now,
-                     RouterActions& actions) {
-  search.asked_at = now;
-  search.repeated = false;
-  for (const auto& [address, agent] : m_agents) {
-    if (wanted(agent) && search.asked.try_emplace(address).second) {
-      actions.emplace_back(SendLocate{address, {ends, search.acknowledged}});
-    }
-  }
-}
-
-bool FlowRouter::Widen(const FlowEnds& ends,
-                       Search& search,
-                       base::Millis now,
-                       RouterActions& actions) {
-  if (search.widened || search.asked.size() >= m_agents.size()) {
-    return false;
-  }
-  search.widened = true;
-  Ask(
-      ends, search, [](const Agent& /*agent*/) { return true; }, now, actions);
-  return true;
-}
-
 void FlowRouter::Remember(const FlowEnds& ends,
                           base::Address agent,
                           base::Millis now) {
@@ -307,74 +245,6 @@
   OnSearchAnswer(answer, agent, now, actions);
 }
 
-void FlowRouter::Found(const FlowEnds& ends,
-                       base::Address agent,
-                       base::Millis now,
-                       RouterActions& actions) {
-  Remember(ends, agent, now);
-  auto search = m_searches.find(ends);
-  if (search == m_searches.end()) {
-    return;
-  }
-  actions.emplace_back(FlowFound{ends, agent, search->second.asked.size(),
-                                 now - search->second.started_at});
-  for (std::string& packet : search->second.packets) {
-    actions.emplace_back(
-        SendForward{agent, NewForward(std::move(packet), false)});
-  }
-  m_searches.erase(search);
-}
-
-void FlowRouter::OnSearchAnswer(const FlowAnswer& answer,
-                                base::Address agent,
-                                base::Millis now,
-                                RouterActions& actions) {
-  auto found = m_searches.find(answer.flow);
-  if (found == m_searches.end()) {
-    return;
-  }
-  Search& search = found->second;
-  search.asked[agent] = answer.holding;
-  bool complete =
-      std::all_of(search.asked.begin(), search.asked.end(),
-                  [](const auto& entry) { return entry.second.has_value(); });
-  if (complete && !Widen(answer.flow, search, now, actions)) {
-    Conclude(answer.flow, search, now, actions);
-    m_searches.erase(found);
-  }
-}
-
-void FlowRouter::Conclude(const FlowEnds& ends,
-                          const Search& search,
-                          base::Millis now,
-                          RouterActions& actions) {
-  bool guessed = false;
-  bool lost_only = true;  // whoever did not answer has lost its flows
-  bool all_answered = true;
-  for (const auto& [address, holding] : search.asked) {
-    if (!holding) {
-      all_answered = false;
-      lost_only = lost_only && HasLostFlows(address, now);
-    } else if (*holding == Holding::kUnsure) {
-      guessed = true;
-      for (const std::string& packet : search.packets) {
-        actions.emplace_back(SendForward{address, NewForward(packet, true)});
-      }
-    }
-  }
-  const CompiledRoute* route = m_routes->Find(ends.route);
-  bool repeatable = route != nullptr && route->idempotent;
-  bool certain = KnowsAllAgents(now) && !guessed &&
-                 (all_answered || (lost_only && repeatable));
-  if (certain && search.wants_answer) {
-    actions.emplace_back(
-        ResetCaller{ends, search.acknowledged,
-                    all_answered ? Reason::kNoSuchFlow : Reason::kFlowLost});
-  } else if (!guessed) {
-    actions.emplace_back(DropPacket{Reason::kNoSuchFlow});
-  }
-}
-
 void FlowRouter::TickOffers(base::Millis now, RouterActions& actions) {
   for (auto offer = m_offers.begin(); offer != m_offers.end();) {
     bool out = true;
@@ -390,28 +260,6 @@
   }
 }
 
-void FlowRouter::TickSearches(base::Millis now, RouterActions& actions) {
-  for (auto found = m_searches.begin(); found != m_searches.end();) {
-    Search& search = found->second;
-    base::Millis age = now - search.asked_at;
-    if (age >= kSearchEnd && !Widen(found->first, search, now, actions)) {
-      Conclude(found->first, search, now, actions);
-      found = m_searches.erase(found);
-      continue;
-    }
-    if (age >= kSearchPatience && !search.repeated) {
-      search.repeated = true;
-      for (const auto& [address, holding] : search.asked) {
-        if (!holding) {
-          actions.emplace_back(
-              SendLocate{address, {found->first, search.acknowledged}});
-        }
-      }
-    }
-    ++found;
-  }
-}
-
 void FlowRouter::NoteSilence(base::Millis now, RouterActions& actions) {
   // An agent whose upstream has ended falls silent as planned.
   std::erase_if(m_agents, [&](const auto& entry) {
--- a/filberthollow/decision/flow_router.h
+++ b/filberthollow/decision/flow_router.h
@@ -198,16 +198,23 @@
     base::Millis asked_at;  // when the caller's packet came
     std::vector<base::Address> tried;
   };
+  // What an agent that was asked has answered, if it has.
+  struct Asked {
+    std::optional<Holding> holding;
+    size_t guessed = 0;  // packets that it was sent as guesses
+  };
   struct Search {
     std::vector<std::string> packets;
     uint32_t acknowledged = 0;
     bool wants_answer = false;  // a packet carries data
     bool repeated = false;
-    bool widened = false;  // all agents are asked
     base::Millis started_at;
-    base::Millis asked_at;  // the agents that are asked now
-    // What each agent that was asked has answered.
-    std::map<base::Address, std::optional<Holding>> asked;
+    base::Millis asked_at;  // an agent was last asked
+    std::map<base::Address, Asked> asked;
+
+    // Returns whether all that were asked have answered.
+    bool IsComplete() const;
+    bool IsAnyUnsure() const;
   };
   template <class Value>
   using ByFlow = std::unordered_map<flow::FlowEnds, Value, flow::FlowEndsHash>;
@@ -230,6 +237,11 @@
                    const flow::PacketHead& head,
                    base::Millis now,
                    RouterActions& actions);
+  // Asks the agents of the route's services, or all if it has none.
+  void AskRoute(const flow::FlowEnds& ends,
+                Search& search,
+                base::Millis now,
+                RouterActions& actions);
   // Asks the agents that were not asked yet and pass `wanted`.
   template <class Wanted>
   void Ask(const flow::FlowEnds& ends,
@@ -242,6 +254,9 @@
              Search& search,
              base::Millis now,
              RouterActions& actions);
+  // Sends the packets to those that are unsure whether they hold the flow;
+  // returns false if all were sent before.
+  bool Guess(Search& search, base::Millis now, RouterActions& actions);
   void OnSearchAnswer(const FlowAnswer& answer,
                       base::Address agent,
                       base::Millis now,
@@ -250,6 +265,13 @@
              base::Address agent,
              base::Millis now,
              RouterActions& actions);
+  // Takes a search as far as the answers allow. Returns whether it is over: not
+  // while an upstream has yet to answer a guess, or an agent that is yet to be
+  // heard of may hold the flow.
+  bool IsOver(const flow::FlowEnds& ends,
+              Search& search,
+              base::Millis now,
+              RouterActions& actions);
   // Acts on a search whose answers are all there, or will not come.
   void Conclude(const flow::FlowEnds& ends,
                 const Search& search,
--- /dev/null
+++ b/filberthollow/decision/flow_router_searches.cc
@@ -0,0 +1,213 @@
+// The part of FlowRouter that finds out who holds a flow.
+#include <algorithm>
+#include <utility>
+
+#include "filberthollow/decision/flow_router.h"
+
+namespace filberthollow::decision {
+
+using flow::FlowEnds;
+using flow::PacketHead;
+using flow::Reason;
+
+bool FlowRouter::Search::IsComplete() const {
+  return std::all_of(asked.begin(), asked.end(), [](const auto& entry) {
+    return entry.second.holding.has_value();
+  });
+}
+
+bool FlowRouter::Search::IsAnyUnsure() const {
+  return std::any_of(asked.begin(), asked.end(), [](const auto& entry) {
+    return entry.second.holding == Holding::kUnsure;
+  });
+}
+
+void FlowRouter::StartSearch(std::string_view packet,
+                             const PacketHead& head,
+                             base::Millis now,
+                             RouterActions& actions) {
+  FlowEnds ends = head.FromCaller();
+  auto found = m_searches.find(ends);
+  if (found == m_searches.end()) {
+    bool hopeless = m_agents.empty() && KnowsAllAgents(now);
+    if (m_searches.size() >= kMaxSearches || hopeless) {
+      actions.emplace_back(DropPacket{Reason::kNotReady});
+      return;
+    }
+    Search search{
+        .acknowledged = head.acknowledged, .started_at = now, .asked_at = now};
+    AskRoute(ends, search, now, actions);
+    found = m_searches.emplace(ends, std::move(search)).first;
+  }
+  Search& search = found->second;
+  search.acknowledged = head.acknowledged;
+  search.wants_answer = search.wants_answer || head.data_bytes > 0;
+  bool copy = std::find(search.packets.begin(), search.packets.end(), packet) !=
+              search.packets.end();
+  if (!copy && search.packets.size() < kMaxHeldPackets) {
+    search.packets.emplace_back(packet);
+    if (search.IsComplete()) {
+      Guess(search, now, actions);
+    }
+  }
+}
+
+void FlowRouter::AskRoute(const FlowEnds& ends,
+                          Search& search,
+                          base::Millis now,
+                          RouterActions& actions) {
+  const CompiledRoute* route = m_routes->Find(ends.route);
+  Ask(
+      ends, search,
+      [route](const Agent& agent) {
+        return route == nullptr || route->Allows(agent.report.service);
+      },
+      now, actions);
+  if (search.asked.empty()) {
+    Widen(ends, search, now, actions);
+  }
+}
+
+template <class Wanted>
+void FlowRouter::Ask(const FlowEnds& ends,
+                     Search& search,
+                     Wanted wanted,
+                     base::Millis now,
+                     RouterActions& actions) {
+  search.asked_at = now;
+  search.repeated = false;
+  for (const auto& [address, agent] : m_agents) {
+    if (wanted(agent) && search.asked.try_emplace(address).second) {
+      actions.emplace_back(SendLocate{address, {ends, search.acknowledged}});
+    }
+  }
+}
+
+bool FlowRouter::Widen(const FlowEnds& ends,
+                       Search& search,
+                       base::Millis now,
+                       RouterActions& actions) {
+  if (search.asked.size() >= m_agents.size()) {
+    return false;
+  }
+  Ask(
+      ends, search, [](const Agent& /*agent*/) { return true; }, now, actions);
+  return true;
+}
+
+bool FlowRouter::Guess(Search& search,
+                       base::Millis now,
+                       RouterActions& actions) {
+  bool guessed = false;
+  for (auto& [address, asked] : search.asked) {
+    if (asked.holding != Holding::kUnsure) {
+      continue;
+    }
+    for (; asked.guessed < search.packets.size(); ++asked.guessed) {
+      guessed = true;
+      actions.emplace_back(SendForward{
+          address, NewForward(search.packets[asked.guessed], true)});
+    }
+  }
+  if (guessed) {
+    search.asked_at = now;
+  }
+  return guessed;
+}
+
+void FlowRouter::Found(const FlowEnds& ends,
+                       base::Address agent,
+                       base::Millis now,
+                       RouterActions& actions) {
+  Remember(ends, agent, now);
+  auto found = m_searches.find(ends);
+  if (found == m_searches.end()) {
+    return;
+  }
+  Search& search = found->second;
+  actions.emplace_back(
+      FlowFound{ends, agent, search.asked.size(), now - search.started_at});
+  for (size_t i = search.asked[agent].guessed; i < search.packets.size(); ++i) {
+    actions.emplace_back(
+        SendForward{agent, NewForward(std::move(search.packets[i]), false)});
+  }
+  m_searches.erase(found);
+}
+
+void FlowRouter::OnSearchAnswer(const FlowAnswer& answer,
+                                base::Address agent,
+                                base::Millis now,
+                                RouterActions& actions) {
+  auto found = m_searches.find(answer.flow);
+  if (found == m_searches.end()) {
+    return;
+  }
+  Search& search = found->second;
+  search.asked[agent].holding = answer.holding;
+  if (search.IsComplete() && IsOver(answer.flow, search, now, actions)) {
+    Conclude(answer.flow, search, now, actions);
+    m_searches.erase(found);
+  }
+}
+
+bool FlowRouter::IsOver(const FlowEnds& ends,
+                        Search& search,
+                        base::Millis now,
+                        RouterActions& actions) {
+  if (Widen(ends, search, now, actions) || Guess(search, now, actions)) {
+    return false;
+  }
+  if (search.IsAnyUnsure()) {
+    return now - search.asked_at >= kSearchEnd;
+  }
+  return KnowsAllAgents(now);
+}
+
+void FlowRouter::Conclude(const FlowEnds& ends,
+                          const Search& search,
+                          base::Millis now,
+                          RouterActions& actions) {
+  bool lost_only = true;  // whoever did not answer has lost its flows
+  for (const auto& [address, asked] : search.asked) {
+    lost_only = lost_only && (asked.holding || HasLostFlows(address, now));
+  }
+  const CompiledRoute* route = m_routes->Find(ends.route);
+  bool repeatable = route != nullptr && route->idempotent;
+  bool complete = search.IsComplete();
+  bool gone = !search.IsAnyUnsure() && (complete || (lost_only && repeatable));
+  if (gone && search.wants_answer) {
+    actions.emplace_back(
+        ResetCaller{ends, search.acknowledged,
+                    complete ? Reason::kNoSuchFlow : Reason::kFlowLost});
+  } else {
+    actions.emplace_back(DropPacket{Reason::kNoSuchFlow});
+  }
+}
+
+void FlowRouter::TickSearches(base::Millis now, RouterActions& actions) {
+  for (auto found = m_searches.begin(); found != m_searches.end();) {
+    const FlowEnds& ends = found->first;
+    Search& search = found->second;
+    if (!KnowsAllAgents(now)) {
+      Widen(ends, search, now, actions);  // others were heard of meanwhile
+    }
+    base::Millis age = now - search.asked_at;
+    if (age >= kSearchEnd && IsOver(ends, search, now, actions)) {
+      Conclude(ends, search, now, actions);
+      found = m_searches.erase(found);
+      continue;
+    }
+    if (age >= kSearchPatience && !search.repeated) {
+      search.repeated = true;
+      for (const auto& [address, asked] : search.asked) {
+        if (!asked.holding) {
+          actions.emplace_back(
+              SendLocate{address, {ends, search.acknowledged}});
+        }
+      }
+    }
+    ++found;
+  }
+}
+
+}  // namespace filberthollow::decision
--- a/filberthollow/decision/flow_router_test.cc
+++ b/filberthollow/decision/flow_router_test.cc
@@ -22,6 +22,11 @@
 constexpr uint64_t kHome = 77;
 constexpr Millis kStep{20};
 
+// Stands for the bytes of a packet.
+std::string BytesOf(const flow::PacketHead& head) {
+  return "packet " + std::to_string(head.sequence);
+}
+
 struct Fixture {
   Millis now{10'000};
   FlowRouter router{kHome, now};
@@ -41,7 +46,7 @@
                     agent, now);
   }
   RouterActions FromCaller(const flow::PacketHead& head) {
-    router.OnCallerPacket("p", head, now, actions);
+    router.OnCallerPacket(BytesOf(head), head, now, actions);
     return Take();
   }
   RouterActions Answer(Address agent,
@@ -196,6 +201,81 @@
   BOOST_TEST(Only<ResetCaller>(Answer(kFirst, Holding::kNotHeld)).empty());
 }
 
+// After a restart the caller's packets come before the reports of all agents.
+BOOST_FIXTURE_TEST_CASE(AFlowIsFoundAtAnAgentThatIsHeardOfLater, Fixture) {
+  BOOST_TEST(FromCaller(Data(101, 500)).empty());
+  Report(kFirst);
+  BOOST_TEST(Only<SendLocate>(Pass(kStep, {})).size() == 1U);
+  BOOST_TEST(Answer(kFirst, Holding::kNotHeld).empty());
+  Report(kSecond);
+  auto asked = Only<SendLocate>(Pass(kStep, {}));
+  BOOST_REQUIRE(asked.size() == 1U);
+  BOOST_TEST((asked[0].agent == kSecond));
+  auto sent = Only<SendForward>(Answer(kSecond, Holding::kHeld));
+  BOOST_REQUIRE(sent.size() == 1U);
+  BOOST_TEST((sent[0].agent == kSecond));
+}
+
+// Its packet would come again only after up to 1.6 s.
+BOOST_FIXTURE_TEST_CASE(ACallerIsToldOnceAllAgentsMustBeKnown, Fixture) {
+  Report(kFirst);
+  FromCaller(Data(101, 500));
+  Answer(kFirst, Holding::kNotHeld);
+  BOOST_TEST(
+      Only<ResetCaller>(Pass(FlowRouter::kCertainAfter, {kFirst})).empty());
+  auto resets = Only<ResetCaller>(Pass(FlowRouter::kSearchEnd, {kFirst}));
+  BOOST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST((resets[0].reason == Reason::kNoSuchFlow));
+}
+
+BOOST_FIXTURE_TEST_CASE(APacketIsGuessedOnceAtEachAgent, Fixture) {
+  Settle({kFirst, kSecond});
+  FromCaller(Data(101, 500));
+  Answer(kFirst, Holding::kUnsure);
+  BOOST_TEST(Only<SendForward>(Answer(kSecond, Holding::kUnsure)).size() == 2U);
+  BOOST_TEST(Answer(kFirst, Holding::kNotHeld, Reason::kNoSuchFlow,
+                    BytesOf(Data(101, 500)))
+                 .empty());
+  // The next packet is guessed at the one that is left.
+  auto guess = Only<SendForward>(FromCaller(Data(601, 500)));
+  BOOST_REQUIRE(guess.size() == 1U);
+  BOOST_TEST((guess[0].agent == kSecond));
+  BOOST_TEST(Only<SendForward>(Answer(kSecond, Holding::kHeld)).empty());
+  BOOST_TEST(
+      !Only<SendForward>(FromCaller(Data(1101, 500))).at(0).message.guess);
+}
+
+// One agent that stays away must not keep a packet from the one that holds it.
+BOOST_FIXTURE_TEST_CASE(WithoutAllAnswersPacketsAreGuessed, Fixture) {
+  Settle({kFirst, kSecond});
+  FromCaller(Data(101, 500));
+  Answer(kFirst, Holding::kUnsure);
+  auto guesses = Only<SendForward>(Pass(FlowRouter::kSearchEnd, {kFirst}));
+  BOOST_REQUIRE(guesses.size() == 1U);
+  BOOST_TEST((guesses[0].agent == kFirst));
+}
+
+BOOST_FIXTURE_TEST_CASE(AWrongGuessLeadsToAReset, Fixture) {
+  Settle({kFirst, kSecond});
+  FromCaller(Data(101, 500));
+  Answer(kFirst, Holding::kUnsure);
+  Answer(kSecond, Holding::kNotHeld);
+  auto resets = Only<ResetCaller>(Answer(
+      kFirst, Holding::kNotHeld, Reason::kNoSuchFlow, BytesOf(Data(101, 500))));
+  BOOST_TEST(resets.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(APacketThatTwoAgentsHandBackIsHeldOnce, Fixture) {
+  Settle({kFirst, kSecond});
+  Answer(kFirst, Holding::kNotHeld, Reason::kNoSuchFlow,
+         BytesOf(Data(101, 500)));
+  Answer(kSecond, Holding::kUnsure, Reason::kNoSuchFlow,
+         BytesOf(Data(101, 500)));
+  FromCaller(Data(101, 500));
+  auto sent = Only<SendForward>(Answer(kFirst, Holding::kHeld));
+  BOOST_TEST(sent.size() == 1U);
+}
+
 // With reports 1.2 s apart, a second after the start some agents are unknown.
 BOOST_FIXTURE_TEST_CASE(InALargeFleetABalancerIsCertainLater, Fixture) {
   Settle({});
--- a/filberthollow/decision/upstream_gate.cc
+++ b/filberthollow/decision/upstream_gate.cc
@@ -37,7 +37,8 @@
                                 base::Millis now) const {
   auto found = m_flows.find(ends);
   if (found == m_flows.end()) {
-    return KnowsAllFlows(now) ? Holding::kNotHeld : Holding::kUnsure;
+    bool sure = KnowsAllFlows(now) || m_guesses.IsRefuted(ends);
+    return sure ? Holding::kNotHeld : Holding::kUnsure;
   }
   const Flow& flow = found->second;
   if (!flow.answered) {
@@ -112,6 +113,8 @@
       return;
     }
     NoteCallerPacket(found->second, head, now);
+  } else {
+    m_guesses.Begin(ends, {balancer, forward.packet}, now);
   }
   actions.emplace_back(ToUpstream{forward.packet});
 }
@@ -213,6 +216,13 @@
     flow.upstream_seen = true;
     flow.upstream_end = end;
   }
+  // An agent that has restarted learns from it what the caller has sent before.
+  if (head.acknowledges &&
+      (!flow.caller_seen ||
+       flow::SequenceDistance(head.acknowledged, flow.caller_end) > 0)) {
+    flow.caller_seen = true;
+    flow.caller_end = head.acknowledged;
+  }
   flow.upstream_finished = flow.upstream_finished || head.finishes;
   if (head.resets || (flow.caller_finished && flow.upstream_finished)) {
     flow.stage = Stage::kClosed;
@@ -256,6 +266,9 @@
     --m_open;
   }
   DeliverWaiting(now, actions);
+  if (auto guess = m_guesses.Confirm(ends)) {
+    Answer(guess->balancer, ends, Holding::kHeld, {}, "", now, actions);
+  }
   if (accepted && !added) {
     Answer(flow.balancer, ends, Holding::kHeld, {}, "", now, actions);
     NoteOffer(ends, std::nullopt, now - flow.offered_at, now, actions);
@@ -278,7 +291,11 @@
     return;
   }
   if (found == m_flows.end()) {
-    return;  // a guess that was wrong; the caller repeats its packet
+    if (auto guess = m_guesses.Refute(ends, now)) {
+      Answer(guess->balancer, ends, Holding::kNotHeld, Reason::kNoSuchFlow,
+             std::move(guess->packet), now, actions);
+    }
+    return;
   }
   // The upstream had accepted the flow and has lost it: it has restarted.
   bool open = found->second.stage == Stage::kOpen;
@@ -431,6 +448,7 @@
   if (now >= m_next_sweep) {
     m_next_sweep = now + kSweepInterval;
     DropOldFlows(now);
+    m_guesses.Forget(now);
   }
 }
 
--- a/filberthollow/decision/upstream_gate.h
+++ b/filberthollow/decision/upstream_gate.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "filberthollow/decision/busy_meter.h"
+#include "filberthollow/decision/flow_guesses.h"
 #include "filberthollow/decision/gate_actions.h"
 #include "filberthollow/decision/packet_messages.h"
 #include "filberthollow/decision/request_queue.h"
@@ -208,6 +209,7 @@
       std::make_shared<const RouteTable>();
   Flows m_flows;
 
+  FlowGuesses m_guesses;
   UpstreamLife m_life;
   base::Millis m_last_tick;
   RequestQueue m_queue;
--- a/filberthollow/decision/upstream_gate_test.cc
+++ b/filberthollow/decision/upstream_gate_test.cc
@@ -191,10 +191,25 @@
   BOOST_TEST(Only<ToUpstream>(Forward(Data(101, 500))).empty());
   auto guess = decision::Forward{.revision = 5, .guess = true, .packet = "p"};
   BOOST_TEST(Only<ToUpstream>(Forward(Data(101, 500), guess)).size() == 1U);
-  FromUpstream(UpstreamData(kUpstreamStart + 1, 100));
+  auto answers =
+      Only<AnswerBalancer>(FromUpstream(UpstreamData(kUpstreamStart + 1, 100)));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((answers[0].answer.holding == Holding::kHeld));
   BOOST_TEST((Ask() == Holding::kHeld));
 }
 
+// Copies of requests that were answered before made the upstream look full.
+BOOST_FIXTURE_TEST_CASE(ACopyOfAnAnsweredRequestIsNoNewWork, RestartedAgent) {
+  flow::PacketHead answer = UpstreamData(kUpstreamStart + 1, 100);
+  answer.acknowledges = true;
+  answer.acknowledged = 601;
+  FromUpstream(answer);
+  Forward(Data(101, 500));
+  BOOST_TEST(gate.Report(now).load.busy == 0U);
+  Forward(Data(601, 500));
+  BOOST_TEST(gate.Report(now).load.busy == 1U);
+}
+
 // Callers of flows that died with another upstream waited for its guesses.
 BOOST_AUTO_TEST_CASE(AnAgentThatRestartedWithoutAnUpstreamIsSureInTime) {
   Fixture f(/*first_start=*/false);
@@ -210,6 +225,24 @@
   BOOST_TEST(Only<ResetCaller>(FromUpstream(Bounced(Data(101, 500)))).empty());
 }
 
+// One agent that had missed the first heartbeat of its upstream kept all
+// balancers from telling callers, for a minute, that their flows were gone.
+BOOST_FIXTURE_TEST_CASE(AWrongGuessIsHandedBackAndMakesTheAgentSure,
+                        RestartedAgent) {
+  auto guess = decision::Forward{.revision = 5, .guess = true, .packet = "p"};
+  Forward(Data(101, 500), guess);
+  auto answers = Only<AnswerBalancer>(FromUpstream(Bounced(Data(101, 500))));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((answers[0].balancer == kBalancer));
+  BOOST_TEST((answers[0].answer.holding == Holding::kNotHeld));
+  BOOST_TEST(answers[0].answer.packet == "p");
+  BOOST_TEST((Ask() == Holding::kNotHeld));
+  // Copies of the packet are handed back, too.
+  BOOST_TEST(
+      Only<AnswerBalancer>(FromUpstream(Bounced(Data(101, 500)))).empty());
+  BOOST_TEST(Only<ToUpstream>(Forward(Data(101, 500), guess)).empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(AnAgentIsSureOfAnUpstreamThatItSawStart,
                         RestartedAgent) {
   Hear(Beat(1, UpstreamState::kReady, 2000));
