Requests that callers have given up hold no places; read what has come before judging silence

Second, a balancer with 0.055 of a core was so late after its start that offers counted as unanswered whose answers lay in its socket: 84 new flows were refused with no_agent.

Ruled out: upstreams that are slow (118 answers/s at times) and requests that ran in vain (arrivals equal requests).

Change: a request whose caller finishes while it waits is handed to the upstream at once, and a FIN of the upstream ends its work. Sockets are read before each tick.

Tests fail first: 2 in upstream_gate_test; udp_socket_test is new.

--- a/filberthollow/decision/upstream_gate.cc
+++ b/filberthollow/decision/upstream_gate.cc
@@ -110,6 +110,12 @@
   if (auto found = m_flows.find(ends); found != m_flows.end()) {
     found->second.balancer = balancer;
     if (KeepWaiting(found->second, forward, head, now)) {
+      if (head.finishes) {
+        // The caller has given up. The upstream drops the request, and what it
+        // would keep from others here is of no use to anybody.
+        m_queue.Remove(ends);
+        DeliverRequest(ends, found->second, now, actions);
+      }
       return;
     }
     NoteCallerPacket(found->second, head, now);
@@ -227,7 +233,8 @@
   if (head.resets || (flow.caller_finished && flow.upstream_finished)) {
     flow.stage = Stage::kClosed;
   }
-  if (head.data_bytes > 0 || flow.stage == Stage::kClosed) {
+  bool done = head.finishes || flow.stage == Stage::kClosed;
+  if (head.data_bytes > 0 || done) {
     SetBusy(head.ToCaller(), flow, false, now);
   }
 }
--- a/filberthollow/decision/upstream_gate.h
+++ b/filberthollow/decision/upstream_gate.h
@@ -150,6 +150,10 @@
                    base::Millis now);
   // Delivers waiting requests while the upstream has room.
   void DeliverWaiting(base::Millis now, GateActions& actions);
+  void DeliverRequest(const flow::FlowEnds& ends,
+                      Flow& flow,
+                      base::Millis now,
+                      GateActions& actions);
   static bool IsNews(const Flow& flow, const flow::PacketHead& head);
   void NoteCallerPacket(Flow& flow,
                         const flow::PacketHead& head,
--- a/filberthollow/decision/upstream_gate_requests.cc
+++ b/filberthollow/decision/upstream_gate_requests.cc
@@ -41,6 +41,7 @@
   }
   flow.last_used = now;
   flow.caller_acknowledged = head.acknowledged;
+  flow.caller_finished = flow.caller_finished || head.finishes;
   if (flow.waiting.size() < kMaxWaitingPackets) {
     flow.waiting.emplace(head.sequence, forward.packet);
   }
@@ -53,17 +54,23 @@
     if (found == m_flows.end()) {
       continue;
     }
-    Flow& flow = found->second;
-    actions.emplace_back(
-        RequestWaited{*ends, now - flow.waiting_since, m_queue.size()});
-    for (auto& [sequence, packet] : std::exchange(flow.waiting, {})) {
-      actions.emplace_back(ToUpstream{std::move(packet)});
-    }
-    if (flow.stage == Stage::kOffered) {
-      flow.stage = Stage::kOpen;
-    }
-    SetBusy(*ends, flow, flow.stage != Stage::kClosed, now);
+    DeliverRequest(*ends, found->second, now, actions);
+  }
+}
+
+void UpstreamGate::DeliverRequest(const FlowEnds& ends,
+                                  Flow& flow,
+                                  base::Millis now,
+                                  GateActions& actions) {
+  actions.emplace_back(
+      RequestWaited{ends, now - flow.waiting_since, m_queue.size()});
+  for (auto& [sequence, packet] : std::exchange(flow.waiting, {})) {
+    actions.emplace_back(ToUpstream{std::move(packet)});
+  }
+  if (flow.stage == Stage::kOffered) {
+    flow.stage = Stage::kOpen;
   }
+  SetBusy(ends, flow, flow.stage != Stage::kClosed, now);
 }
 
 void UpstreamGate::SetBusy(const FlowEnds& ends,
--- a/filberthollow/decision/upstream_gate_test.cc
+++ b/filberthollow/decision/upstream_gate_test.cc
@@ -14,6 +14,7 @@
 using testing::Beat;
 using testing::Bounced;
 using testing::Data;
+using testing::Finish;
 using testing::kDesk;
 using testing::kDeskFlow;
 using testing::kUpstreamStart;
@@ -441,6 +442,29 @@
   BOOST_TEST(Only<ToUpstream>(answered).empty());
 }
 
+// After an outage such requests held the places of others for a second each.
+BOOST_FIXTURE_TEST_CASE(ARequestWhoseCallerHasFinishedDoesNotWait,
+                        FullUpstream) {
+  Request(1);
+  Request(2);
+  Request(3);
+  GateActions given_up = Forward(At(Finish(601), 3));
+  BOOST_TEST(Only<ToUpstream>(given_up).size() == 2U);
+  flow::PacketHead finish = Reply(UpstreamData(kUpstreamStart + 1, 0), 3);
+  finish.finishes = true;
+  FromUpstream(finish);
+  BOOST_TEST(gate.Report(now).load.busy == 2U);
+  BOOST_TEST(gate.Report(now).load.open == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnUpstreamThatFinishesHasNoWorkLeft, FullUpstream) {
+  Request(1);
+  flow::PacketHead finish = Reply(UpstreamData(kUpstreamStart + 1, 0), 1);
+  finish.finishes = true;
+  FromUpstream(finish);
+  BOOST_TEST(gate.Report(now).load.busy == 0U);
+}
+
 // Callers that left before they had sent the whole of a request kept all
 // others waiting for ever.
 BOOST_FIXTURE_TEST_CASE(ARequestWithoutAnAnswerDoesNotBlockForEver,
--- a/filberthollow/net/udp_socket.cc
+++ b/filberthollow/net/udp_socket.cc
@@ -57,7 +57,7 @@
   return base::Done{};
 }
 
-void UdpSocket::ReadBatch() {
+int UdpSocket::ReadBatch() {
   static thread_local std::array<std::array<char, kMaxReceiveBytes>, kBatch>
       buffers;
   std::array<sockaddr_in, kBatch> names;
@@ -74,6 +74,15 @@
   for (int i = 0; i < count; ++i) {
     m_handler({buffers[i].data(), headers[i].msg_len}, FromSockaddr(names[i]));
   }
+  return count;
+}
+
+void UdpSocket::ReadPending() {
+  for (int i = 0; i < kMaxPendingBatches; ++i) {
+    if (ReadBatch() < kBatch) {
+      return;
+    }
+  }
 }
 
 bool UdpSocket::Send(std::string_view bytes, base::Address to) {
--- a/filberthollow/net/udp_socket.h
+++ b/filberthollow/net/udp_socket.h
@@ -36,13 +36,20 @@
   // Watch calls `handler` for each datagram. The loop takes the descriptor
   // over and closes it when the loop ends.
   base::Result<base::Done> Watch(Loop& loop, Handler handler);
+  // ReadPending handles the datagrams that have come already, without waiting,
+  // kMaxPendingBatches batches at most. A task that is about to conclude
+  // something from silence calls it first: on a busy host what it waits for may
+  // have come.
+  static constexpr int kMaxPendingBatches = 16;
+  void ReadPending();
   // Send returns false if the kernel did not take the datagram.
   bool Send(std::string_view bytes, base::Address to);
 
  private:
   UdpSocket(int fd, base::Address address) : m_fd(fd), m_address(address) {}
 
-  void ReadBatch();
+  // Returns how many datagrams were read.
+  int ReadBatch();
 
   int m_fd;
   base::Address m_address;
--- /dev/null
+++ b/filberthollow/net/udp_socket_test.cc
@@ -0,0 +1,45 @@
+#include "filberthollow/net/udp_socket.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+namespace filberthollow::net {
+namespace {
+
+constexpr uint32_t kLoopback = 0x7f000001;
+
+struct Fixture {
+  base::SystemClock clock;
+  Loop loop{clock};
+  std::shared_ptr<UdpSocket> sender = *UdpSocket::Bind({kLoopback, 0});
+  std::shared_ptr<UdpSocket> receiver = *UdpSocket::Bind({kLoopback, 0});
+  std::vector<std::string> heard;
+
+  Fixture() {
+    BOOST_REQUIRE(receiver->Watch(loop, [this](auto bytes, auto /*from*/) {
+      heard.emplace_back(bytes);
+    }));
+  }
+
+  void Send(int count) {
+    for (int i = 0; i < count; ++i) {
+      BOOST_REQUIRE(sender->Send(std::to_string(i), receiver->address()));
+    }
+  }
+};
+
+// Loopback delivers a datagram before the call that sends it returns.
+BOOST_FIXTURE_TEST_CASE(PendingDatagramsAreReadWithoutTheLoop, Fixture) {
+  constexpr int kCount = 3 * UdpSocket::kBatch + 1;
+  Send(kCount);
+  receiver->ReadPending();
+  BOOST_REQUIRE(heard.size() == static_cast<size_t>(kCount));
+  BOOST_TEST(heard.front() == "0");
+  BOOST_TEST(heard.back() == std::to_string(kCount - 1));
+  receiver->ReadPending();
+  BOOST_TEST(heard.size() == static_cast<size_t>(kCount));
+}
+
+}  // namespace
+}  // namespace filberthollow::net
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -264,6 +264,11 @@
              {"owes_opening", note.owes_opening ? "yes" : "no"}});
 }
 
+void AgentTask::ReadPending() {
+  PacketsTask::ReadPending();
+  m_outbound->ReadPending();
+}
+
 void AgentTask::Decide() {
   m_gate.OnTick(Now(), m_actions);
   Act();
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -53,6 +53,7 @@
   void OnMessage(const PacketsMessage& message) override;
   void OnStopped() override;
   void Decide() override;
+  void ReadPending() override;
   base::Millis DecideAgainIn() const override { return m_gate.TickDelay(); }
   void OnPeer(const wire::PacketMessage& message, base::Address from) override;
 
--- a/filberthollow/passthrough/packets_task.cc
+++ b/filberthollow/passthrough/packets_task.cc
@@ -94,6 +94,7 @@
 
 void PacketsTask::OnTick() {
   m_next_tick = base::kNever;
+  ReadPending();
   NoteSilences();
   Decide();
   ArmTick();
--- a/filberthollow/passthrough/packets_task.h
+++ b/filberthollow/passthrough/packets_task.h
@@ -38,6 +38,8 @@
 
   // Decide() lets the decision object act on the time.
   virtual void Decide() = 0;
+  // ReadPending() handles what has come already, before silence is judged.
+  virtual void ReadPending() { m_peers->ReadPending(); }
   // DecideAgainIn() returns when Decide() is due next.
   virtual base::Millis DecideAgainIn() const = 0;
   virtual void OnPeer(const wire::PacketMessage& message,
