Agents without an upstream need not answer; certain of all agents after two reports

A balancer called no flow lost for three report intervals, 3.3 s in a fleet of 22 balancers.

Change: an agent that has no upstream reports that it is gone, stopping or not, and searches count it as told; one whose upstream has said its last word reports draining until that has ended. Two report intervals, since agents report to a newcomer at once.

Tests fail first: upstream_gate_test 1, flow_router_test 1.

--- a/filberthollow/decision/flow_router.cc
+++ b/filberthollow/decision/flow_router.cc
@@ -30,6 +30,12 @@
          (IsSilent(found->second, now) && !found->second.report.leaving);
 }
 
+bool FlowRouter::HasNoUpstream(base::Address agent) const {
+  auto found = m_agents.find(agent);
+  return found != m_agents.end() &&
+         found->second.report.state == UpstreamState::kGone;
+}
+
 bool FlowRouter::KnowsAllAgents(base::Millis now) const {
   return now - m_started >
          std::max(kCertainAfter, m_longest_interval * kCertainReports);
--- a/filberthollow/decision/flow_router.h
+++ b/filberthollow/decision/flow_router.h
@@ -129,9 +129,10 @@
   // kCertainAfter: a balancer that has just started may not have heard of all
   // agents. Until then it calls no flow lost, and new flows wait for an agent;
   // after it, their callers still have time to try elsewhere. In large fleets
-  // reports come less often, so no flow is called lost for kCertainReports.
+  // reports come less often, so no flow is called lost for kCertainReports; one
+  // of them may be lost, and so may what agents tell a newcomer at once.
   static constexpr base::Millis kCertainAfter{1000};
-  static constexpr int64_t kCertainReports = 3;
+  static constexpr int64_t kCertainReports = 2;
   // kMaxTickGap: after a longer gap between ticks this process was paused.
   static constexpr base::Millis kMaxTickGap{350};
   static constexpr base::Millis kBusyTick{20};
@@ -288,6 +289,9 @@
   // Returns whether the flows of an agent count as lost: it is silent, and has
   // not said that it stops beside an upstream that keeps them.
   bool HasLostFlows(base::Address agent, base::Millis now) const;
+  // Returns whether an agent has told that its upstream has ended, or that it
+  // has none.
+  bool HasNoUpstream(base::Address agent) const;
   // Returns whether all agents must have been heard of.
   bool KnowsAllAgents(base::Millis now) const;
   static bool WasHeardLately(const Agent& agent, base::Millis now);
--- a/filberthollow/decision/flow_router_searches.cc
+++ b/filberthollow/decision/flow_router_searches.cc
@@ -193,13 +193,15 @@
                           const Search& search,
                           base::Millis now,
                           RouterActions& actions) {
+  bool complete = true;
   bool lost_only = true;  // whoever did not answer has lost its flows
   for (const auto& [address, asked] : search.asked) {
-    lost_only = lost_only && (asked.holding || HasLostFlows(address, now));
+    bool told = asked.holding || HasNoUpstream(address);
+    complete = complete && told;
+    lost_only = lost_only && (told || HasLostFlows(address, now));
   }
   const CompiledRoute* route = m_routes->Find(ends.route);
   bool repeatable = route != nullptr && route->idempotent;
-  bool complete = search.IsComplete();
   bool gone = !search.IsAnyUnsure() && (complete || (lost_only && repeatable));
   if (gone && search.wants_answer) {
     actions.emplace_back(
--- a/filberthollow/decision/flow_router_test.cc
+++ b/filberthollow/decision/flow_router_test.cc
@@ -398,6 +398,20 @@
   BOOST_TEST(Only<SendLocate>(FromCaller(Data(101, 500))).size() == 1U);
 }
 
+// Until it is forgotten, searches need not wait for it, whatever the work.
+BOOST_FIXTURE_TEST_CASE(AnAgentWithoutAnUpstreamNeedNotAnswer, Fixture) {
+  Settle({kFirst, kSecond});
+  router.OnReport({.service = testing::kDesk,
+                   .state = UpstreamState::kGone,
+                   .interval = Millis(200)},
+                  kSecond, now);
+  FromCaller(Data(101, 500));
+  BOOST_TEST(Answer(kFirst, Holding::kNotHeld).empty());
+  auto resets = Only<ResetCaller>(Pass(FlowRouter::kSearchEnd, {kFirst}));
+  BOOST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST((resets[0].reason == Reason::kNoSuchFlow));
+}
+
 BOOST_FIXTURE_TEST_CASE(ASilentAgentIsNoted, Fixture) {
   Settle({kFirst, kSecond});
   auto lost =
--- a/filberthollow/decision/upstream_gate.cc
+++ b/filberthollow/decision/upstream_gate.cc
@@ -408,6 +408,7 @@
   }
   if (check.ended) {
     LoseFlows(Reason::kUpstreamRestarted, now, actions);
+    actions.emplace_back(ReportNow{});
   }
   if (check.dead && !m_flows.empty()) {
     LoseFlows(Reason::kUpstreamSilent, now, actions);
@@ -473,14 +474,14 @@
 }
 
 UpstreamState UpstreamGate::ReportedState(base::Millis now) const {
-  if (!m_leaving) {
-    return m_life.state();
-  }
   if (m_life.IsAbsent(now)) {
     return UpstreamState::kGone;
   }
-  return m_life.state() == UpstreamState::kReady ? UpstreamState::kDraining
-                                                 : m_life.state();
+  // Until it has ended, an upstream that has said its last word keeps its
+  // flows.
+  bool closing = (m_leaving && m_life.state() == UpstreamState::kReady) ||
+                 m_life.IsEnding();
+  return closing ? UpstreamState::kDraining : m_life.state();
 }
 
 UpstreamReport UpstreamGate::Report(base::Millis now) const {
@@ -492,7 +493,8 @@
           .silent = m_life.silent() || m_life.IsRefusing(now),
           .load = LoadNow(now),
           .revision = m_routes->revision(),
-          .leaving = m_leaving && state != UpstreamState::kGone};
+          .leaving =
+              m_leaving && state != UpstreamState::kGone && !m_life.IsEnding()};
 }
 
 }  // namespace filberthollow::decision
--- a/filberthollow/decision/upstream_gate_test.cc
+++ b/filberthollow/decision/upstream_gate_test.cc
@@ -349,6 +349,30 @@
   BOOST_TEST(!gate.Report(now).leaving);
 }
 
+// Machines whose upstream was taken away are removed without a word.
+BOOST_FIXTURE_TEST_CASE(AnAgentWithoutAnUpstreamSaysSo, Fixture) {
+  BOOST_TEST((gate.Report(now).state == UpstreamState::kUnknown));
+  now = now + Millis(1000) * UpstreamLife::kAbsentBeats +
+        UpstreamLife::kAbsentSlack + Millis(1);
+  BOOST_TEST((gate.Report(now).state == UpstreamState::kGone));
+  Hear(Beat(1));
+  BOOST_TEST((gate.Report(now).state == UpstreamState::kReady));
+}
+
+// A balancer that resets the flows of an upstream that is gone must not do so
+// while its last packets are on their way.
+BOOST_FIXTURE_TEST_CASE(AnUpstreamIsGoneOnlyOnceItHasEnded, Fixture) {
+  OpenFlow();
+  Hear(Beat(0, UpstreamState::kGone));
+  gate.Leave();
+  BOOST_TEST((gate.Report(now).state == UpstreamState::kDraining));
+  BOOST_TEST(!gate.Report(now).leaving);  // stops beside one that ends, too
+  BOOST_TEST((Ask() == Holding::kHeld));
+  GateActions seen = Pass(UpstreamLife::kGoneLinger);
+  BOOST_TEST(Only<ReportNow>(seen).size() == 1U);
+  BOOST_TEST((gate.Report(now).state == UpstreamState::kGone));
+}
+
 // It is gone for less time if it ends between two requests.
 BOOST_FIXTURE_TEST_CASE(ALeavingAgentIsIdleBetweenRequests, Fixture) {
   OpenFlow();
--- a/filberthollow/decision/upstream_life.h
+++ b/filberthollow/decision/upstream_life.h
@@ -98,6 +98,8 @@
   bool silent() const { return m_silent; }
   // Returns whether it has handed back a new flow just now.
   bool IsRefusing(base::Millis now) const { return now < m_refusing_until; }
+  // Returns whether it has said its last word and may not have ended yet.
+  bool IsEnding() const { return m_gone_at != base::kNever; }
   // Returns whether there seems to be no upstream at all.
   bool IsAbsent(base::Millis now) const;
   base::Millis HeardAgo(base::Millis now) const { return now - m_heard_at; }
