Reset no new flow while one that was offered it may have accepted

Cause: found by reading, while looking for a reset of an open flow. An offer counts as unanswered after 0.11 s; if the others then refused, the caller was reset, though the answer of the first may only have been lost and its upstream hold the flow.

Change: if an offer went unanswered, nothing is sent; the caller sends its opening packet again, and gives up by itself after 1.4 s. Test fails first (AFlowThatMayHaveBeenAcceptedIsNotReset).

--- a/filberthollow/decision/flow_router.cc
+++ b/filberthollow/decision/flow_router.cc
@@ -153,7 +153,13 @@
     return true;
   }
   if (!best) {
-    actions.emplace_back(ResetCaller{ends, 0, Reason::kNoAgent});
+    // Who has not answered may have accepted. The caller sends its packet
+    // again, and gives up by itself in time.
+    if (offer.unanswered) {
+      actions.emplace_back(DropPacket{Reason::kNoAgent});
+    } else {
+      actions.emplace_back(ResetCaller{ends, 0, Reason::kNoAgent});
+    }
     return false;
   }
   offer.agent = options[*best].agent;
@@ -268,6 +274,7 @@
           agent != m_agents.end()) {
         agent->second.no_answer = true;
       }
+      offer->second.unanswered = offer->second.unanswered || !waits;
       out = OfferNext(offer->first, offer->second, now, actions);
     }
     offer = out ? std::next(offer) : m_offers.erase(offer);
--- a/filberthollow/decision/flow_router.h
+++ b/filberthollow/decision/flow_router.h
@@ -198,6 +198,7 @@
     base::Millis sent_at;
     base::Millis asked_at;  // when the caller's packet came
     std::vector<base::Address> tried;
+    bool unanswered = false;  // one of them has not answered
   };
   // What an agent that was asked has answered, if it has.
   struct Asked {
--- a/filberthollow/decision/flow_router_test.cc
+++ b/filberthollow/decision/flow_router_test.cc
@@ -126,6 +126,17 @@
   BOOST_TEST((next[0].agent != first));
 }
 
+// The answer may be lost, and the flow be open.
+BOOST_FIXTURE_TEST_CASE(AFlowThatMayHaveBeenAcceptedIsNotReset, Fixture) {
+  Settle({kFirst, kSecond});
+  auto first = Only<SendForward>(FromCaller(Opening())).at(0).agent;
+  Pass(FlowRouter::kOfferPatience + kStep, {});
+  Address second = first == kFirst ? kSecond : kFirst;
+  RouterActions end = Answer(second, Holding::kRefused, Reason::kDraining);
+  BOOST_TEST(Only<ResetCaller>(end).empty());
+  BOOST_TEST(Only<DropPacket>(end).size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(ACopyDoesNotMakeASecondOffer, Fixture) {
   Settle({kFirst, kSecond});
   FromCaller(Opening());
