--- a/filberthollow/decision/upstream_gate_test.cc
+++ b/filberthollow/decision/upstream_gate_test.cc
@@ -2,77 +2,26 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "filberthollow/testing/packet_fixtures.h"
+#include "filberthollow/testing/gate_fixture.h"
 
 namespace filberthollow::decision {
 namespace {
 
-using base::Address;
 using base::Millis;
 using flow::Reason;
 using testing::Acceptance;
 using testing::Beat;
 using testing::Bounced;
 using testing::Data;
-using testing::Finish;
-using testing::kDesk;
 using testing::kDeskFlow;
 using testing::kUpstreamStart;
 using testing::Only;
 using testing::Opening;
 using testing::UpstreamData;
 
-constexpr Address kBalancer{7, 7000};
-constexpr Millis kStep{100};
-
-// A gate whose upstream is ready, and a clock that the test moves.
-struct Fixture {
-  Millis now{10'000};
-  UpstreamGate gate;
-  GateActions actions;
-
-  explicit Fixture(bool first_start = true)
-      : gate(GateOptions{.service = kDesk, .first_start = first_start}, now) {
-    gate.SetRoutes(testing::TwoRoutes(5));
-  }
-
-  GateActions Take() { return std::exchange(actions, {}); }
-  GateActions Hear(const UpstreamBeat& beat) {
-    gate.OnBeat(beat, now, actions);
-    return Take();
-  }
-  GateActions Forward(const flow::PacketHead& head,
-                      decision::Forward forward = {.revision = 5,
-                                                   .packet = "p"}) {
-    gate.OnForward(forward, head, kBalancer, now, actions);
-    return Take();
-  }
-  GateActions FromUpstream(const flow::PacketHead& head) {
-    gate.OnUpstreamPacket("u", head, now, actions);
-    return Take();
-  }
-  GateActions Pass(Millis time) {
-    GateActions all;
-    for (Millis end = now + time; now < end;) {
-      now = now + std::min(kStep, end - now);
-      gate.OnTick(now, actions);
-      for (auto& action : Take()) {
-        all.push_back(action);
-      }
-    }
-    return all;
-  }
-  Holding Ask(uint32_t acknowledged = kUpstreamStart + 1) {
-    gate.OnLocate({{{kDeskFlow, acknowledged}}}, kBalancer, now, actions);
-    return Only<AnswerLocate>(Take()).at(0).answer.flows.at(0).holding;
-  }
-  void OpenFlow() {
-    Hear(Beat(1));
-    Forward(Opening());
-    FromUpstream(Acceptance());
-    Forward(Data(101, 0));
-  }
-};
+using Fixture = testing::GateFixture;
+using testing::kBalancer;
+using testing::kStep;
 
 Reason RefusalOf(const GateActions& actions) {
   auto answers = Only<AnswerBalancer>(actions);
@@ -400,107 +349,6 @@
   BOOST_TEST(gate.flows() == 0U);
 }
 
-BOOST_FIXTURE_TEST_CASE(BusyCountsRequestsWithoutAnAnswer, Fixture) {
-  OpenFlow();
-  Forward(Data(101, 500));
-  Forward(Data(601, 400));
-  Forward(Data(101, 500));  // a copy
-  BOOST_TEST(gate.Report(now).load.busy == 1U);
-  FromUpstream(UpstreamData(kUpstreamStart + 1, 0));
-  BOOST_TEST(gate.Report(now).load.busy == 1U);  // only an acknowledgement
-  FromUpstream(UpstreamData(kUpstreamStart + 1, 1200));
-  BOOST_TEST(gate.Report(now).load.busy == 0U);
-}
-
-// An upstream with one slot, which is given two requests at a time.
-struct FullUpstream : Fixture {
-  static constexpr uint16_t kBusyFlows = 3;  // the connection limit
-
-  FullUpstream() {
-    Hear({.id = "i",
-          .service = "desk",
-          .started = Millis(1000),
-          .sequence = 1,
-          .state = UpstreamState::kReady,
-          .slots = 1});
-    for (uint16_t port = 1; port <= kBusyFlows; ++port) {
-      Forward(At(Opening(), port));
-      FromUpstream(Reply(Acceptance(), port));
-      Forward(At(Data(101, 0), port));
-    }
-  }
-  static flow::PacketHead At(flow::PacketHead head, uint16_t port) {
-    head.source.port = port;
-    return head;
-  }
-  static flow::PacketHead Reply(flow::PacketHead head, uint16_t port) {
-    head.destination.port = port;
-    return head;
-  }
-  bool Request(uint16_t port) {
-    return !Only<ToUpstream>(Forward(At(Data(101, 500), port))).empty();
-  }
-};
-
-BOOST_FIXTURE_TEST_CASE(RequestsWaitWhileTheUpstreamIsFull, FullUpstream) {
-  BOOST_TEST(Request(1));
-  BOOST_TEST(Request(2));
-  BOOST_TEST(!Request(3));
-  BOOST_TEST(!Request(3));  // a copy
-  BOOST_TEST(gate.Report(now).load.busy == 3U);
-  GateActions answered =
-      FromUpstream(Reply(UpstreamData(kUpstreamStart + 1, 100), 1));
-  BOOST_TEST(Only<ToUpstream>(answered).size() == 1U);
-  BOOST_TEST(Only<ToCaller>(answered).size() == 1U);
-}
-
-BOOST_FIXTURE_TEST_CASE(ARequestThatWasGivenUpIsNotDelivered, FullUpstream) {
-  Request(1);
-  Request(2);
-  Request(3);
-  flow::PacketHead reset = At(Data(601, 0), 3);
-  reset.resets = true;
-  Forward(reset);
-  GateActions answered =
-      FromUpstream(Reply(UpstreamData(kUpstreamStart + 1, 100), 1));
-  BOOST_TEST(Only<ToUpstream>(answered).empty());
-}
-
-// After an outage such requests held the places of others for a second each.
-BOOST_FIXTURE_TEST_CASE(ARequestWhoseCallerHasFinishedDoesNotWait,
-                        FullUpstream) {
-  Request(1);
-  Request(2);
-  Request(3);
-  GateActions given_up = Forward(At(Finish(601), 3));
-  BOOST_TEST(Only<ToUpstream>(given_up).size() == 2U);
-  flow::PacketHead finish = Reply(UpstreamData(kUpstreamStart + 1, 0), 3);
-  finish.finishes = true;
-  FromUpstream(finish);
-  BOOST_TEST(gate.Report(now).load.busy == 2U);
-  BOOST_TEST(gate.Report(now).load.open == 2U);
-}
-
-BOOST_FIXTURE_TEST_CASE(AnUpstreamThatFinishesHasNoWorkLeft, FullUpstream) {
-  Request(1);
-  flow::PacketHead finish = Reply(UpstreamData(kUpstreamStart + 1, 0), 1);
-  finish.finishes = true;
-  FromUpstream(finish);
-  BOOST_TEST(gate.Report(now).load.busy == 0U);
-}
-
-// Callers that left before they had sent the whole of a request kept all
-// others waiting for ever.
-BOOST_FIXTURE_TEST_CASE(ARequestWithoutAnAnswerDoesNotBlockForEver,
-                        FullUpstream) {
-  Request(1);
-  Request(2);
-  BOOST_TEST(!Request(3));
-  FromUpstream(Reply(UpstreamData(kUpstreamStart, 0), 1));
-  GateActions seen = Pass(BusyMeter::kMaxBusy + kStep);
-  BOOST_TEST(Only<ToUpstream>(seen).size() == 1U);
-}
-
 // The on-call engineer has to tell whether the caller was cut off by its
 // upstream or by us.
 BOOST_FIXTURE_TEST_CASE(AResetOfTheUpstreamIsNoted, Fixture) {
--- a/filberthollow/measure/measure_main.cc
+++ b/filberthollow/measure/measure_main.cc
@@ -52,6 +52,7 @@
            measure::GatePacketTime(flows),
            measure::ReportBytes({1, 1000}),
            measure::HelloBytes({0, 4, 16}),
+           measure::LocateBytes({1, 8, 64}),
        }) {
     nlohmann::json points = nlohmann::json::array();
     for (const measure::Point& point : series.points) {
--- a/filberthollow/measure/packet_slopes.cc
+++ b/filberthollow/measure/packet_slopes.cc
@@ -193,4 +193,11 @@
           })};
 }
 
+Series LocateBytes(const Sizes& flows) {
+  return {"locate_bytes", "flows asked for", "bytes",
+          EncodedBytes(flows, [](uint32_t size) {
+            return decision::Locate{std::vector<decision::FlowQuestion>(size)};
+          })};
+}
+
 }  // namespace filberthollow::measure
--- a/filberthollow/measure/slopes.h
+++ b/filberthollow/measure/slopes.h
@@ -87,6 +87,7 @@
 Series GatePacketTime(const Sizes& flows);
 Series ReportBytes(const Sizes& loads);
 Series HelloBytes(const Sizes& named);
+Series LocateBytes(const Sizes& flows);
 
 }  // namespace filberthollow::measure
 
--- /dev/null
+++ b/filberthollow/testing/gate_fixture.h
@@ -0,0 +1,73 @@
+// An agent's gate as the tests of its parts drive it.
+#ifndef FILBERTHOLLOW_TESTING_GATE_FIXTURE_H_
+#define FILBERTHOLLOW_TESTING_GATE_FIXTURE_H_
+
+#include <algorithm>
+#include <utility>
+
+#include "filberthollow/decision/upstream_gate.h"
+#include "filberthollow/testing/packet_fixtures.h"
+
+namespace filberthollow::testing {
+
+inline constexpr base::Address kBalancer{7, 7000};
+inline constexpr base::Millis kStep{100};
+
+// GateFixture is an agent's gate and a clock that the test moves. Its methods
+// return what the gate decided.
+struct GateFixture {
+  base::Millis now{10'000};
+  decision::UpstreamGate gate;
+  decision::GateActions actions;
+
+  explicit GateFixture(bool first_start = true)
+      : gate(
+            decision::GateOptions{.service = kDesk, .first_start = first_start},
+            now) {
+    gate.SetRoutes(TwoRoutes(5));
+  }
+
+  decision::GateActions Take() { return std::exchange(actions, {}); }
+  decision::GateActions Hear(const decision::UpstreamBeat& beat) {
+    gate.OnBeat(beat, now, actions);
+    return Take();
+  }
+  decision::GateActions Forward(const flow::PacketHead& head,
+                                decision::Forward forward = {.revision = 5,
+                                                             .packet = "p"}) {
+    gate.OnForward(forward, head, kBalancer, now, actions);
+    return Take();
+  }
+  decision::GateActions FromUpstream(const flow::PacketHead& head) {
+    gate.OnUpstreamPacket("u", head, now, actions);
+    return Take();
+  }
+  decision::GateActions Pass(base::Millis time) {
+    decision::GateActions all;
+    for (base::Millis end = now + time; now < end;) {
+      now = now + std::min(kStep, end - now);
+      gate.OnTick(now, actions);
+      for (auto& action : Take()) {
+        all.push_back(action);
+      }
+    }
+    return all;
+  }
+  decision::Holding Ask(uint32_t acknowledged = kUpstreamStart + 1) {
+    gate.OnLocate({{{kDeskFlow, acknowledged}}}, kBalancer, now, actions);
+    return Only<decision::AnswerLocate>(Take())
+        .at(0)
+        .answer.flows.at(0)
+        .holding;
+  }
+  void OpenFlow() {
+    Hear(Beat(1));
+    Forward(Opening());
+    FromUpstream(Acceptance());
+    Forward(Data(101, 0));
+  }
+};
+
+}  // namespace filberthollow::testing
+
+#endif  // FILBERTHOLLOW_TESTING_GATE_FIXTURE_H_
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -40,6 +40,7 @@
 DATA_CENTRE = TARGETS // 8
 OUTAGE_SECONDS = 12
 TELLERS = 3                 # BalancerSet::kTellers
+LOCATES_PER_SECOND = 2000  # LocateQueue::kPerMilli
 REPORT_WIRE_BYTES = 150     # PacketsTask::kReportBytes
 HELLO_WIRE_BYTES = 200      # PacketsTask::kHelloBytes
 HEADER_BYTES = 28           # IPv4 and UDP
@@ -462,6 +463,13 @@
         row("balancer, passed through", "reports heard",
             "from every agent", f"{REPORT_WIRE_BYTES} B a report",
             f"{heard:.0f} B/s", "3,000 B/s", heard <= LIMITS["control"]),
+        row("balancer, passed through", "a search for a flow among all agents",
+            "questions share messages; messages are paced",
+            f"{at('locate_bytes', 1):.0f} B for one flow, "
+            f"{per('locate_bytes'):.0f} B for each more; "
+            f"{LOCATES_PER_SECOND} messages/s",
+            f"{TARGETS / LOCATES_PER_SECOND:.1f} s, up to 64 flows at one time; "
+            "the route's own services are asked first", "none given", True),
         row("balancer, passed through", "time until a silent agent is noted",
             "three reports missed; an unanswered offer shows it in 0.11 s",
             "3 intervals", f"{silence:.0f} s", "11 s", silence <= 11),
--- a/tools/mutation-check.py
+++ b/tools/mutation-check.py
@@ -94,6 +94,18 @@
     ("settings/process_file.cc", "text.append(part.data(), "
      "static_cast<size_t>(in.gcount()));", "text.append(part.data(), "
      "part.size());", "settings_process_file_test"),
+    ("decision/flow_guesses.cc", "found->second.refuted = true;", "",
+     "decision_upstream_gate_test"),
+    ("decision/locate_queue.cc", "CreditAt(now) <= 0", "false",
+     "decision_locate_queue_test"),
+    ("decision/flow_router.cc", "if (offer.unanswered) {", "if (false) {",
+     "decision_flow_router_test"),
+    ("decision/flow_router_searches.cc", "return KnowsAllAgents(now);",
+     "return true;", "decision_flow_router_test"),
+    ("decision/upstream_gate.cc", "bool done = head.finishes ||",
+     "bool done =", "decision_upstream_gate_requests_test"),
+    ("passthrough/peer_config.cc", "if (length > kMaxConfigBytes) {",
+     "if (false) {", "passthrough_peer_config_test"),
 ]
 
 
