--- a/filberthollow/decision/flow_router_test.cc
+++ b/filberthollow/decision/flow_router_test.cc
@@ -271,6 +271,16 @@
   BOOST_TEST((guesses[0].agent == kFirst));
 }
 
+// The upstream may hold the flow and have nothing to say.
+BOOST_FIXTURE_TEST_CASE(AGuessWithoutAnAnswerResetsNobody, Fixture) {
+  Settle({kFirst});
+  FromCaller(Data(101, 500));
+  BOOST_TEST(Only<SendForward>(Answer(kFirst, Holding::kUnsure)).size() == 1U);
+  RouterActions end = Pass(FlowRouter::kSearchEnd + kStep, {kFirst});
+  BOOST_TEST(Only<ResetCaller>(end).empty());
+  BOOST_TEST(Only<DropPacket>(end).size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(AWrongGuessLeadsToAReset, Fixture) {
   Settle({kFirst, kSecond});
   FromCaller(Data(101, 500));
