Call no flow gone that nobody was asked for; ask agents that take another's place

A search that had asked no agent counted as answered by all, so a balancer that was cut off from every agent at its start reset open flows after a second. And a search took all agents as asked once it had asked as many as there are: one that was forgotten meanwhile made room for one that was never asked. Both ended in a reset of a flow that an upstream may hold.

Change: a search without an agent concludes nothing; agents are counted as they are added, and each is asked. Tests fail first (ABalancerThatHeardNoAgentResetsNobody, AnAgentThatTakesTheOthersPlaceIsAsked).

--- a/filberthollow/decision/flow_router.cc
+++ b/filberthollow/decision/flow_router.cc
@@ -81,9 +81,12 @@
                           base::Address agent,
                           base::Millis now) {
   m_longest_interval = std::max(m_longest_interval, report.interval);
-  bool silent = m_agents[agent].silent;
-  m_agents[agent] = Agent{
-      .report = report, .heard_at = now, .load_at = now, .silent = silent};
+  auto [known, added] = m_agents.try_emplace(agent);
+  m_agents_added += added ? 1 : 0;
+  known->second = Agent{.report = report,
+                        .heard_at = now,
+                        .load_at = now,
+                        .silent = known->second.silent};
 }
 
 void FlowRouter::OnCallerPacket(std::string_view packet,
--- a/filberthollow/decision/flow_router.h
+++ b/filberthollow/decision/flow_router.h
@@ -212,6 +212,8 @@
     bool repeated = false;
     base::Millis started_at;
     base::Millis asked_at;  // an agent was last asked
+    // Of m_agents_added, when all agents were asked.
+    std::optional<uint64_t> widened_at;
     std::map<base::Address, Asked> asked;
 
     // Returns whether all that were asked have answered.
@@ -308,6 +310,7 @@
   std::shared_ptr<const RouteTable> m_routes =
       std::make_shared<const RouteTable>();
   std::map<base::Address, Agent> m_agents;
+  uint64_t m_agents_added = 0;  // counts agents that were not known before
   ByFlow<KnownFlow> m_known;
   ByFlow<Offer> m_offers;
   ByFlow<Search> m_searches;
--- a/filberthollow/decision/flow_router_searches.cc
+++ b/filberthollow/decision/flow_router_searches.cc
@@ -82,12 +82,14 @@
 }
 
 bool FlowRouter::Widen(const FlowEnds& ends, Search& search, base::Millis now) {
-  if (search.asked.size() >= m_agents.size()) {
+  if (search.widened_at == m_agents_added) {
     return false;
   }
+  search.widened_at = m_agents_added;
+  size_t before = search.asked.size();
   Ask(
       ends, search, [](const Agent& /*agent*/) { return true; }, now);
-  return true;
+  return search.asked.size() > before;
 }
 
 bool FlowRouter::Guess(Search& search,
@@ -193,8 +195,8 @@
                           const Search& search,
                           base::Millis now,
                           RouterActions& actions) {
-  bool complete = true;
-  bool lost_only = true;  // whoever did not answer has lost its flows
+  bool complete = !search.asked.empty();
+  bool lost_only = complete;  // whoever did not answer has lost its flows
   for (const auto& [address, asked] : search.asked) {
     bool told = asked.holding || HasNoUpstream(address);
     complete = complete && told;
--- a/filberthollow/decision/flow_router_test.cc
+++ b/filberthollow/decision/flow_router_test.cc
@@ -232,6 +232,30 @@
   BOOST_TEST((sent[0].agent == kSecond));
 }
 
+// It may be cut off from all of them.
+BOOST_FIXTURE_TEST_CASE(ABalancerThatHeardNoAgentResetsNobody, Fixture) {
+  FromCaller(Data(101, 500));
+  RouterActions end =
+      Pass(FlowRouter::kCertainAfter + FlowRouter::kSearchEnd, {});
+  BOOST_TEST(Only<ResetCaller>(end).empty());
+}
+
+// One that has been asked is forgotten while another is heard of.
+BOOST_FIXTURE_TEST_CASE(AnAgentThatTakesTheOthersPlaceIsAsked, Fixture) {
+  Report(kFirst);
+  router.OnReport({.service = testing::kDesk,
+                   .state = UpstreamState::kGone,
+                   .interval = Millis(200)},
+                  kSecond, now);
+  FromCaller(Data(101, 500));
+  Pass(FlowRouter::kMinSilence + kStep, {kFirst});
+  Answer(kFirst, Holding::kNotHeld);
+  Report(kThird);
+  auto asked = Only<SendLocate>(Pass(kStep, {kFirst}));
+  BOOST_REQUIRE(asked.size() == 1U);
+  BOOST_TEST((asked[0].agent == kThird));
+}
+
 // Its packet would come again only after up to 1.6 s.
 BOOST_FIXTURE_TEST_CASE(ACallerIsToldOnceAllAgentsMustBeKnown, Fixture) {
   Report(kFirst);
