Search for a flow whose remembered agent is silent before it is reset

By reading: if the first answer to an offer is late, two upstreams accept the flow, and the balancer remembers the one that answered last. If that one freezes, its packets went there unanswered, and after 0.7 s the flow was reset, though the caller had gone on with the other.

Ruled out: the flows of frozen agents themselves, which are reset on purpose and do not count.

Change: the other agents are asked first. A search ends as soon as all have answered whose answer may come, so silent agents delay nothing. RepeatableFlow's tests start after the first second, in which a balancer may not know all agents; their checks are as they were.

--- a/filberthollow/decision/flow_router.cc
+++ b/filberthollow/decision/flow_router.cc
@@ -204,11 +204,12 @@
   known->second.last_used = now;
   if (HasLostFlows(known->second.agent, now) && route->idempotent &&
       head.data_bytes > 0) {
-    // The caller repeats such work elsewhere at once. Other work is left to
-    // the upstream, which may have it already.
+    // The caller repeats such work elsewhere once it is told. But another
+    // upstream may have accepted the flow, too, and be the one that the caller
+    // goes on with. Other work is left to the upstream, which may have it.
     m_known.erase(known);
-    actions.emplace_back(
-        ResetCaller{ends, head.acknowledged, Reason::kFlowLost});
+    StartSearch(packet, head, now, actions);
+    SendQuestions(now, actions);
     return;
   }
   actions.emplace_back(
--- a/filberthollow/decision/flow_router.h
+++ b/filberthollow/decision/flow_router.h
@@ -216,8 +216,6 @@
     std::optional<uint64_t> widened_at;
     std::map<base::Address, Asked> asked;
 
-    // Returns whether all that were asked have answered.
-    bool IsComplete() const;
     bool IsAnyUnsure() const;
   };
   template <class Value>
@@ -270,6 +268,12 @@
              base::Address agent,
              base::Millis now,
              RouterActions& actions);
+  // Takes a search further, and ends it, if nothing more is to be waited for.
+  void Advance(ByFlow<Search>::iterator search,
+               base::Millis now,
+               RouterActions& actions);
+  // Returns whether all have answered whose answer may come.
+  bool IsSettled(const Search& search, base::Millis now) const;
   // Takes a search as far as the answers allow. Returns whether it is over: not
   // while an upstream has yet to answer a guess, or an agent that is yet to be
   // heard of may hold the flow.
--- a/filberthollow/decision/flow_router_searches.cc
+++ b/filberthollow/decision/flow_router_searches.cc
@@ -10,12 +10,6 @@
 using flow::PacketHead;
 using flow::Reason;
 
-bool FlowRouter::Search::IsComplete() const {
-  return std::all_of(asked.begin(), asked.end(), [](const auto& entry) {
-    return entry.second.holding.has_value();
-  });
-}
-
 bool FlowRouter::Search::IsAnyUnsure() const {
   return std::any_of(asked.begin(), asked.end(), [](const auto& entry) {
     return entry.second.holding == Holding::kUnsure;
@@ -46,10 +40,8 @@
               search.packets.end();
   if (!copy && search.packets.size() < kMaxHeldPackets) {
     search.packets.emplace_back(packet);
-    if (search.IsComplete()) {
-      Guess(search, now, actions);
-    }
   }
+  Advance(found, now, actions);
 }
 
 void FlowRouter::AskRoute(const FlowEnds& ends,
@@ -170,14 +162,28 @@
   if (found == m_searches.end()) {
     return;
   }
-  Search& search = found->second;
-  search.asked[agent].holding = holding;
-  if (search.IsComplete() && IsOver(ends, search, now, actions)) {
-    Conclude(ends, search, now, actions);
-    m_searches.erase(found);
+  found->second.asked[agent].holding = holding;
+  Advance(found, now, actions);
+}
+
+void FlowRouter::Advance(ByFlow<Search>::iterator search,
+                         base::Millis now,
+                         RouterActions& actions) {
+  const auto& [ends, state] = *search;
+  if (IsSettled(state, now) && IsOver(ends, search->second, now, actions)) {
+    Conclude(ends, state, now, actions);
+    m_searches.erase(search);
   }
 }
 
+bool FlowRouter::IsSettled(const Search& search, base::Millis now) const {
+  return std::all_of(
+      search.asked.begin(), search.asked.end(), [&](const auto& entry) {
+        return entry.second.holding || HasNoUpstream(entry.first) ||
+               HasLostFlows(entry.first, now);
+      });
+}
+
 bool FlowRouter::IsOver(const FlowEnds& ends,
                         Search& search,
                         base::Millis now,
