Offer a flow that was found to nobody else

If the answer to an offer is late, but the caller's next packet has found the flow at its agent, the offer still went on to a second upstream, which accepted it, too.

Change: a flow that is found has no offer any more. Test fails first (AFlowThatWasFoundIsOfferedToNobodyElse).

--- a/filberthollow/decision/flow_router.cc
+++ b/filberthollow/decision/flow_router.cc
@@ -235,7 +235,6 @@
     if (offer != m_offers.end()) {
       actions.emplace_back(
           OfferAccepted{answer.flow, agent, now - offer->second.asked_at});
-      m_offers.erase(offer);
     }
     Found(answer.flow, agent, now, actions);
     return;
--- a/filberthollow/decision/flow_router_searches.cc
+++ b/filberthollow/decision/flow_router_searches.cc
@@ -109,6 +109,7 @@
                        base::Millis now,
                        RouterActions& actions) {
   Remember(ends, agent, now);
+  m_offers.erase(ends);  // another upstream would accept it, too
   auto found = m_searches.find(ends);
   if (found == m_searches.end()) {
     return;
--- a/filberthollow/decision/flow_router_test.cc
+++ b/filberthollow/decision/flow_router_test.cc
@@ -126,6 +126,19 @@
   BOOST_TEST((next[0].agent != first));
 }
 
+// The answer to the offer was lost, but the caller goes on already.
+BOOST_FIXTURE_TEST_CASE(AFlowThatWasFoundIsOfferedToNobodyElse, Fixture) {
+  Settle({kFirst, kSecond});
+  auto first = Only<SendForward>(FromCaller(Opening())).at(0).agent;
+  FromCaller(Data(101, 500));
+  router.OnLocated({.flows = {{kDeskFlow, Holding::kHeld}}}, first, now,
+                   actions);
+  Take();
+  RouterActions later =
+      Pass(FlowRouter::kOfferPatience + kStep, {kFirst, kSecond});
+  BOOST_TEST(Only<SendForward>(later).empty());
+}
+
 // The answer may be lost, and the flow be open.
 BOOST_FIXTURE_TEST_CASE(AFlowThatMayHaveBeenAcceptedIsNotReset, Fixture) {
   Settle({kFirst, kSecond});
