--- a/filberthollow/passthrough/peer_config_test.cc
+++ b/filberthollow/passthrough/peer_config_test.cc
@@ -24,8 +24,8 @@
   BOOST_TEST(DecodeObjects(EncodeObjects({}), kPeer)->empty());
 }
 
-// 90 KB for each of 2.6 agents after each of two changes a second would fill
-// half of a link of 10 Mbit/s.
+// Each balancer hands it to several agents after each change, some of them over
+// links of 10 Mbit/s.
 BOOST_AUTO_TEST_CASE(RepetitiveRoutesTakeAFifthAtMost) {
   auto objects = ManyRoutes();
   BOOST_TEST(EncodeObjects(objects).size() * 5 < objects[0].value->size());
