--- a/filberthollow/decision/locate_queue.h
+++ b/filberthollow/decision/locate_queue.h
@@ -30,9 +30,9 @@
 // LocateQueue belongs to one router.
 class LocateQueue {
  public:
-  // kPerMilli bounds the messages. With 10 flows each they are 236 bytes, headers
-  // included, hence 0.5 MB/s; several times as many would fill a link of
-  // 10 Mbit/s.
+  // kPerMilli bounds the messages. With 10 flows each they are 236 bytes,
+  // headers included, hence 0.5 MB/s; several times as many would fill a link
+  // of 10 Mbit/s.
   static constexpr int64_t kPerMilli = 2;
   // kBurst messages may be sent at once after a pause, so that a single search
   // does not wait.
