--- a/filberthollow/agent/agent_process.cc
+++ b/filberthollow/agent/agent_process.cc
@@ -17,8 +17,8 @@
 // How long the process waits for the final heartbeats to be sent.
 constexpr int kFinalHeartbeatsMs = 100;
 
-decision::TargetIdentity IdentityOf(const settings::AgentFile& file,
-                                    base::Address relay) {
+decision::flows::TargetIdentity IdentityOf(const settings::AgentFile& file,
+                                           base::Address relay) {
   auto started = static_cast<uint64_t>(base::WallMillis().count());
   // The 20 random bits give targets that start in the same millisecond
   // different incarnations.
@@ -30,11 +30,12 @@
 }
 
 AnnouncerOptions OptionsOf(const settings::AgentFile& file,
-                           const decision::TargetIdentity& identity,
+                           const decision::flows::TargetIdentity& identity,
                            uint16_t admin_port) {
-  return {.record = {.id = decision::MemberId{base::Value(identity.target)},
-                     .kind = decision::MemberKind::kTarget,
-                     .state = decision::MemberState::kStarting,
+  return {.record = {.id = decision::membership::MemberId{base::Value(
+                         identity.target)},
+                     .kind = decision::membership::MemberKind::kTarget,
+                     .state = decision::membership::MemberState::kStarting,
                      .incarnation = identity.incarnation,
                      .sequence = 1,
                      .service = identity.service,
@@ -106,7 +107,8 @@
     return daemon::FailWith("bind_failed", admin_address.error(),
                             daemon::kExitBindFailed);
   }
-  decision::TargetIdentity identity = IdentityOf(file, (*relay)->address());
+  decision::flows::TargetIdentity identity =
+      IdentityOf(file, (*relay)->address());
   kernel.Add(std::make_unique<FlowsTask>(clock, registry, *relay, identity,
                                          file.upstream));
   kernel.Add(std::make_unique<AnnouncerTask>(
--- a/filberthollow/agent/announcer_task.cc
+++ b/filberthollow/agent/announcer_task.cc
@@ -11,7 +11,7 @@
 namespace filberthollow::agent {
 
 using base::Level;
-using decision::MemberState;
+using decision::membership::MemberState;
 
 AnnouncerTask::AnnouncerTask(const base::Clock& clock,
                              kernel::Registry& registry,
--- a/filberthollow/agent/announcer_task.h
+++ b/filberthollow/agent/announcer_task.h
@@ -12,7 +12,7 @@
 
 #include "filberthollow/admin/report.h"
 #include "filberthollow/config/config.h"
-#include "filberthollow/decision/observer_choice.h"
+#include "filberthollow/decision/membership/observer_choice.h"
 #include "filberthollow/metrics/metrics.h"
 #include "filberthollow/net/http_client.h"
 #include "filberthollow/net/loop_task.h"
@@ -56,7 +56,7 @@
 // AnnouncerOptions describes the target to announce.
 struct AnnouncerOptions {
   // The target's record when the agent starts.
-  decision::MemberRecord record;
+  decision::membership::MemberRecord record;
   std::string data_centre;
   std::string target;
   // HTTP address for health checks and load reports.
@@ -115,7 +115,7 @@
   void OnHealth(bool healthy);
   // Sets the state in the record and sends heartbeats at once. Draining and
   // left are final.
-  void SetState(decision::MemberState state);
+  void SetState(decision::membership::MemberState state);
   // Sends a heartbeat to each observer, once there are keys to seal it with.
   void SendHeartbeats();
   std::string StatusJson() const;
@@ -124,8 +124,8 @@
   const AnnouncerOptions m_options;
   net::HttpClient m_client;
   flow::KeyRing m_keys;
-  decision::MemberRecord m_record;
-  decision::ObserverChoice m_observers;
+  decision::membership::MemberRecord m_record;
+  decision::membership::ObserverChoice m_observers;
   // Time until the next regular heartbeat.
   base::Millis m_heartbeat_interval = kHeartbeatInterval;
   uint64_t m_settings_revision = 0;
--- a/filberthollow/agent/flows_task.cc
+++ b/filberthollow/agent/flows_task.cc
@@ -13,13 +13,13 @@
 namespace filberthollow::agent {
 namespace {
 
-using decision::UpstreamResult;
+using decision::flows::UpstreamResult;
 
 constexpr base::Millis kMillisPerSecond{1000};
 constexpr std::array<const char*, 4> kMethodNames{"GET", "PUT", "POST",
                                                   "DELETE"};
 
-decision::TargetLimits LimitsOf(const settings::Settings& s) {
+decision::flows::TargetLimits LimitsOf(const settings::Settings& s) {
   return {.admission = {.slots = s.slots,
                         .queue_length = s.queue_length,
                         .retry_percent = s.retry_percent},
@@ -48,7 +48,7 @@
 FlowsTask::FlowsTask(const base::Clock& clock,
                      kernel::Registry& registry,
                      std::shared_ptr<net::UdpSocket> socket,
-                     decision::TargetIdentity identity,
+                     decision::flows::TargetIdentity identity,
                      base::Address upstream)
     : LoopTask(clock, registry, kFlowsService),
       m_socket(std::move(socket)),
@@ -88,13 +88,13 @@
 }
 
 void FlowsTask::Handle(const HealthChanged& m) {
-  m_flows.SetReadiness(m.healthy ? decision::Readiness::kReady
-                                 : decision::Readiness::kNotReady);
+  m_flows.SetReadiness(m.healthy ? decision::flows::Readiness::kReady
+                                 : decision::flows::Readiness::kNotReady);
 }
 
 void FlowsTask::Handle(const DrainFlows& /*m*/) {
   m_draining = true;
-  m_flows.SetReadiness(decision::Readiness::kDraining);
+  m_flows.SetReadiness(decision::flows::Readiness::kDraining);
   loop().After(m_stop_timeout, [] { kernel::NotifyDrained(); });
   CheckDrained();
 }
@@ -108,8 +108,8 @@
   }
   std::string text =
       m.explain == base::FlowId{} ? StatusJson() : m_flows.Explain(m.explain);
-  bool ready =
-      !m_keys.empty() && m_flows.readiness() == decision::Readiness::kReady;
+  bool ready = !m_keys.empty() &&
+               m_flows.readiness() == decision::flows::Readiness::kReady;
   m.reply_to->Post(
       {m.query_id, name(), std::move(report), std::move(text), ready});
 }
@@ -126,8 +126,8 @@
   ReportLoad();
 }
 
-void FlowsTask::Perform(const decision::AgentActions& actions) {
-  for (const decision::OutgoingMessage& send : actions.sends) {
+void FlowsTask::Perform(const decision::flows::AgentActions& actions) {
+  for (const decision::flows::OutgoingMessage& send : actions.sends) {
     flow::RelayedDown message = send.message;
     message.load = m_flows.unfinished();
     if (!m_socket->Send(wire::EncodeRelayedDown(message, m_keys),
@@ -135,10 +135,10 @@
       m_metrics.Count(flow::Reason::kSendFailed);
     }
   }
-  for (const decision::UpstreamRequest& start : actions.starts) {
+  for (const decision::flows::UpstreamRequest& start : actions.starts) {
     Start(start);
   }
-  for (decision::RequestId request_id : actions.cancels) {
+  for (decision::load::RequestId request_id : actions.cancels) {
     if (auto exchange = m_exchanges.find(request_id);
         exchange != m_exchanges.end()) {
       m_client.Cancel(exchange->second);
@@ -146,7 +146,7 @@
   }
 }
 
-void FlowsTask::Start(const decision::UpstreamRequest& start) {
+void FlowsTask::Start(const decision::flows::UpstreamRequest& start) {
   base::Millis time_left = start.deadline - Now();
   std::string id = fmt::format("{:016x}-{}", base::Value(start.request_id.flow),
                                base::Value(start.request_id.seq));
@@ -170,7 +170,7 @@
                      });
 }
 
-void FlowsTask::OnUpstreamDone(decision::RequestId request_id,
+void FlowsTask::OnUpstreamDone(decision::load::RequestId request_id,
                                const net::HttpResult& result) {
   m_exchanges.erase(request_id);
   m_metrics.Record("upstream_ms", Now() - m_start_times.at(request_id));
--- a/filberthollow/agent/flows_task.h
+++ b/filberthollow/agent/flows_task.h
@@ -1,5 +1,5 @@
 // The flows service of an agent. It owns the relay socket and the connections
-// to the upstream, and carries out what decision::TargetFlows decides.
+// to the upstream, and carries out what decision::flows::TargetFlows decides.
 #ifndef FILBERTHOLLOW_AGENT_FLOWS_TASK_H_
 #define FILBERTHOLLOW_AGENT_FLOWS_TASK_H_
 
@@ -10,7 +10,7 @@
 
 #include "filberthollow/admin/report.h"
 #include "filberthollow/config/config.h"
-#include "filberthollow/decision/target_flows.h"
+#include "filberthollow/decision/flows/target_flows.h"
 #include "filberthollow/metrics/metrics.h"
 #include "filberthollow/net/http_client.h"
 #include "filberthollow/net/loop_task.h"
@@ -61,7 +61,7 @@
   FlowsTask(const base::Clock& clock,
             kernel::Registry& registry,
             std::shared_ptr<net::UdpSocket> socket,
-            decision::TargetIdentity identity,
+            decision::flows::TargetIdentity identity,
             base::Address upstream);
 
  protected:
@@ -77,10 +77,10 @@
   void Handle(const admin::ReportQuery& m);
 
   void OnDatagram(std::string_view bytes, base::Address from);
-  void Perform(const decision::AgentActions& actions);
+  void Perform(const decision::flows::AgentActions& actions);
   // Sends a request to the upstream.
-  void Start(const decision::UpstreamRequest& start);
-  void OnUpstreamDone(decision::RequestId request_id,
+  void Start(const decision::flows::UpstreamRequest& start);
+  void OnUpstreamDone(decision::load::RequestId request_id,
                       const net::HttpResult& result);
   // Schedules OnTick() if any flow is open and none is scheduled yet.
   void EnsureTick();
@@ -96,9 +96,9 @@
   const base::Address m_upstream;
   net::HttpClient m_client;
   flow::KeyRing m_keys;
-  decision::TargetFlows m_flows;
-  std::map<decision::RequestId, net::HttpClient::ExchangeId> m_exchanges;
-  std::map<decision::RequestId, base::Millis> m_start_times;
+  decision::flows::TargetFlows m_flows;
+  std::map<decision::load::RequestId, net::HttpClient::ExchangeId> m_exchanges;
+  std::map<decision::load::RequestId, base::Millis> m_start_times;
   bool m_tick_scheduled = false;
   // How long a planned stop may take: the setting stop_ms.
   base::Millis m_stop_timeout;
--- a/filberthollow/balancer/balancer_process.cc
+++ b/filberthollow/balancer/balancer_process.cc
@@ -21,12 +21,12 @@
 // reach their callers.
 constexpr int kRelayLingerMs = 1500;
 
-decision::MemberRecord OwnRecord(const settings::BalancerFile& file,
-                                 base::Address control) {
+decision::membership::MemberRecord OwnRecord(const settings::BalancerFile& file,
+                                             base::Address control) {
   auto started = static_cast<uint64_t>(base::WallMillis().count());
-  return {.id = decision::MemberId{base::HashBytes(file.name)},
-          .kind = decision::MemberKind::kBalancer,
-          .state = decision::MemberState::kReady,
+  return {.id = decision::membership::MemberId{base::HashBytes(file.name)},
+          .kind = decision::membership::MemberKind::kBalancer,
+          .state = decision::membership::MemberState::kReady,
           .incarnation = base::Incarnation{started},
           .sequence = 1,
           .data_centre = base::HashBytes(file.data_centre),
--- a/filberthollow/balancer/members_task.cc
+++ b/filberthollow/balancer/members_task.cc
@@ -10,13 +10,13 @@
 #include "filberthollow/balancer/relay_task.h"
 #include "filberthollow/base/log.h"
 #include "filberthollow/config/config_messages.h"
-#include "filberthollow/decision/view_builder.h"
+#include "filberthollow/decision/flows/view_builder.h"
 
 namespace filberthollow::balancer {
 namespace {
 
-using decision::MemberRecord;
-using decision::MemberState;
+using decision::membership::MemberRecord;
+using decision::membership::MemberState;
 using nlohmann::json;
 
 // Time from the first change to the view that includes it; changes within it
@@ -50,7 +50,8 @@
     base::Log(base::Level::kError, "socket_failed",
               {{"error", watched.error().Text()}});
   }
-  loop().After(decision::Gossip::kRoundInterval, [this] { OnRound(); });
+  loop().After(decision::membership::Gossip::kRoundInterval,
+               [this] { OnRound(); });
 }
 
 void MembersTask::OnMessage(const MembersMessage& message) {
@@ -129,7 +130,8 @@
     return;
   }
   std::visit([this, from](const auto& m) { HandleControl(m, from); }, *message);
-  for (const decision::Suspicion& suspicion : m_gossip.TakeSuspicions()) {
+  for (const decision::membership::Suspicion& suspicion :
+       m_gossip.TakeSuspicions()) {
     OnSuspicion(suspicion);
   }
   PublishViewIfChanged();
@@ -164,7 +166,7 @@
   m_metrics.Count(flow::Reason::kMalformed);
 }
 
-void MembersTask::HandleControl(const decision::GossipMessage& m,
+void MembersTask::HandleControl(const decision::membership::GossipMessage& m,
                                 base::Address from) {
   m_metrics.Add("gossip_messages");
   if (m.revision > m_snapshot->revision) {
@@ -197,8 +199,10 @@
 }
 
 void MembersTask::OnRound() {
-  loop().After(decision::Gossip::kRoundInterval, [this] { OnRound(); });
-  for (const decision::Suspicion& suspicion : m_observer.OnTick(Now())) {
+  loop().After(decision::membership::Gossip::kRoundInterval,
+               [this] { OnRound(); });
+  for (const decision::membership::Suspicion& suspicion :
+       m_observer.OnTick(Now())) {
     m_metrics.Add("suspicions");
     m_gossip.SpreadSuspicion(suspicion);
     OnSuspicion(suspicion);
@@ -207,7 +211,8 @@
   PublishViewIfChanged();
 }
 
-void MembersTask::OnSuspicion(const decision::Suspicion& suspicion) {
+void MembersTask::OnSuspicion(
+    const decision::membership::Suspicion& suspicion) {
   const MemberRecord* held = m_gossip.directory().Find(suspicion.member);
   if (held == nullptr || held->incarnation != suspicion.incarnation ||
       held->sequence != suspicion.sequence ||
@@ -223,8 +228,9 @@
              {"member", fmt::format("{:016x}", base::Value(dead.id))}});
 }
 
-void MembersTask::Transmit(const std::vector<decision::GossipSend>& sends) {
-  for (const decision::GossipSend& send : sends) {
+void MembersTask::Transmit(
+    const std::vector<decision::membership::GossipSend>& sends) {
+  for (const decision::membership::GossipSend& send : sends) {
     std::string datagram = wire::EncodeControl(send.message, m_keys);
     m_metrics.Add("control_bytes_sent", datagram.size());
     m_socket->Send(datagram, send.to);
@@ -242,8 +248,9 @@
 void MembersTask::PublishView() {
   m_view_scheduled = false;
   m_view_changed = false;
-  auto view = std::make_shared<const decision::TargetView>(
-      decision::BuildView(m_gossip.directory(), m_snapshot->tree, m_loads));
+  auto view = std::make_shared<const decision::flows::TargetView>(
+      decision::flows::BuildView(m_gossip.directory(), m_snapshot->tree,
+                                 m_loads));
   Post(kRelayService, RelayMessage(ViewChanged{std::move(view)}));
 }
 
@@ -258,8 +265,9 @@
   for (const auto& [id, record] : m_gossip.directory().records()) {
     json member{
         {"id", fmt::format("{:016x}", base::Value(id))},
-        {"kind",
-         record.kind == decision::MemberKind::kTarget ? "target" : "balancer"},
+        {"kind", record.kind == decision::membership::MemberKind::kTarget
+                     ? "target"
+                     : "balancer"},
         {"state", StateName(record.state)},
         {"incarnation", fmt::format("{:x}", base::Value(record.incarnation))},
         {"address", record.address.Text()}};
--- a/filberthollow/balancer/members_task.h
+++ b/filberthollow/balancer/members_task.h
@@ -13,9 +13,9 @@
 
 #include "filberthollow/admin/report.h"
 #include "filberthollow/config/config.h"
-#include "filberthollow/decision/gossip.h"
-#include "filberthollow/decision/observer.h"
-#include "filberthollow/decision/router.h"
+#include "filberthollow/decision/flows/router.h"
+#include "filberthollow/decision/membership/gossip.h"
+#include "filberthollow/decision/membership/observer.h"
 #include "filberthollow/metrics/metrics.h"
 #include "filberthollow/net/loop_task.h"
 #include "filberthollow/net/udp_socket.h"
@@ -49,7 +49,7 @@
 
 // RecordsFound delivers the member records of a peer's snapshot.
 struct RecordsFound {
-  std::vector<decision::MemberRecord> records;
+  std::vector<decision::membership::MemberRecord> records;
   friend bool operator==(const RecordsFound&, const RecordsFound&) = default;
 };
 
@@ -72,7 +72,7 @@
   MembersTask(const base::Clock& clock,
               kernel::Registry& registry,
               std::shared_ptr<net::UdpSocket> socket,
-              decision::MemberRecord self);
+              decision::membership::MemberRecord self);
 
  protected:
   void OnStart() override;
@@ -98,7 +98,8 @@
   void OnDatagram(std::string_view bytes, base::Address from);
   void HandleControl(const wire::Heartbeat& m, base::Address from);
   void HandleControl(const wire::HeartbeatAck& m, base::Address from);
-  void HandleControl(const decision::GossipMessage& m, base::Address from);
+  void HandleControl(const decision::membership::GossipMessage& m,
+                     base::Address from);
   // Runs one gossip round: suspects targets that are silent and sends the
   // messages of the round.
   void OnRound();
@@ -106,11 +107,11 @@
   // until one has arrived.
   void FetchInitialSnapshot();
   // Marks the member dead once enough observers suspect its current sequence.
-  void OnSuspicion(const decision::Suspicion& suspicion);
+  void OnSuspicion(const decision::membership::Suspicion& suspicion);
   // Returns the ack of a heartbeat. It includes the target's settings if the
   // agent's are older than the configuration in force.
   wire::HeartbeatAck AckFor(const wire::Heartbeat& heartbeat) const;
-  void Transmit(const std::vector<decision::GossipSend>& sends);
+  void Transmit(const std::vector<decision::membership::GossipSend>& sends);
   // Schedules PublishView() if anything changed. The short delay combines a
   // burst of changes into one view.
   void PublishViewIfChanged();
@@ -126,8 +127,8 @@
   flow::KeyRing m_keys;
   config::ConfigSnapshotPtr m_snapshot;
   std::map<base::ServiceId, std::string> m_service_names;
-  decision::Gossip m_gossip;
-  decision::Observer m_observer;
+  decision::membership::Gossip m_gossip;
+  decision::membership::Observer m_observer;
   std::mt19937_64 m_random;
   bool m_snapshot_received = false;
   bool m_peer_list_complete = false;
@@ -136,9 +137,9 @@
   bool m_view_scheduled = false;
   // From the last heartbeat of each target that sends heartbeats to this
   // balancer.
-  std::map<decision::MemberId, TargetInfo> m_targets;
+  std::map<decision::membership::MemberId, TargetInfo> m_targets;
   // Loads from the same heartbeats, in requests that wait or run.
-  std::map<decision::MemberId, uint32_t> m_loads;
+  std::map<decision::membership::MemberId, uint32_t> m_loads;
   metrics::Metrics m_metrics;
 };
 
--- a/filberthollow/balancer/peers_messages.h
+++ b/filberthollow/balancer/peers_messages.h
@@ -8,7 +8,7 @@
 
 #include "filberthollow/admin/report.h"
 #include "filberthollow/config/config.h"
-#include "filberthollow/decision/member_record.h"
+#include "filberthollow/decision/membership/member_record.h"
 
 namespace filberthollow::balancer {
 
@@ -26,7 +26,7 @@
 struct RecordsReply {
   // Copied from the query.
   uint64_t query = 0;
-  std::vector<decision::MemberRecord> records;
+  std::vector<decision::membership::MemberRecord> records;
   friend bool operator==(const RecordsReply&, const RecordsReply&) = default;
 };
 
--- a/filberthollow/balancer/peers_task.cc
+++ b/filberthollow/balancer/peers_task.cc
@@ -55,7 +55,8 @@
 
   // A snapshot call that waits for the RecordsReply of the members service.
   struct PendingQuery {
-    kj::Own<kj::PromiseFulfiller<std::vector<decision::MemberRecord>>>
+    kj::Own<
+        kj::PromiseFulfiller<std::vector<decision::membership::MemberRecord>>>
         fulfiller;
   };
 
@@ -87,7 +88,8 @@
     task.m_metrics.Count(request.reason());
     return KJ_EXCEPTION(FAILED, "unsealed request");
   }
-  auto paf = kj::newPromiseAndFulfiller<std::vector<decision::MemberRecord>>();
+  auto paf = kj::newPromiseAndFulfiller<
+      std::vector<decision::membership::MemberRecord>>();
   uint64_t query = ++task.m_last_query;
   pending[query] = PendingQuery{kj::mv(paf.fulfiller)};
   auto members = task.m_registry.Find<MembersMessage>(kMembersService);
@@ -170,7 +172,7 @@
   auto pending = m_rpc->pending.find(m.query);
   if (pending != m_rpc->pending.end()) {
     pending->second.fulfiller->fulfill(
-        std::vector<decision::MemberRecord>(m.records));
+        std::vector<decision::membership::MemberRecord>(m.records));
     m_rpc->pending.erase(pending);
   }
 }
@@ -229,7 +231,7 @@
 
 std::string PeersTask::EncodeAnswer(
     const SnapshotRequest& request,
-    std::vector<decision::MemberRecord> records) const {
+    std::vector<decision::membership::MemberRecord> records) const {
   Snapshot snapshot{.nonce = request.nonce, .records = std::move(records)};
   std::string keys;
   for (const platform::StoredObject& object : m_objects) {
--- a/filberthollow/balancer/peers_task.h
+++ b/filberthollow/balancer/peers_task.h
@@ -53,8 +53,9 @@
   // services. `nonce` is that of the request.
   void OnSnapshot(std::string_view bytes, uint64_t nonce);
   // Returns the sealed answer to a snapshot request.
-  std::string EncodeAnswer(const wire::SnapshotRequest& request,
-                           std::vector<decision::MemberRecord> records) const;
+  std::string EncodeAnswer(
+      const wire::SnapshotRequest& request,
+      std::vector<decision::membership::MemberRecord> records) const;
   // Returns the keys that seal this balancer's snapshot requests and the
   // answers to them: the fleet's keys, or the join key while there are none.
   // Empty if there is neither.
--- a/filberthollow/balancer/relay_task.cc
+++ b/filberthollow/balancer/relay_task.cc
@@ -75,8 +75,9 @@
          from);
     return;
   }
-  decision::Route route = m_router.RouteMessage(*message, from, Now());
-  if (const auto* forward = std::get_if<decision::ForwardToAgent>(&route)) {
+  decision::flows::Route route = m_router.RouteMessage(*message, from, Now());
+  if (const auto* forward =
+          std::get_if<decision::flows::ForwardToAgent>(&route)) {
     if (open != nullptr) {
       m_metrics.Add("flows_placed");
     }
@@ -84,13 +85,14 @@
         *m_sockets.agents,
         wire::EncodeRelayedUp({from, forward->flow, *message}, m_router.keys()),
         forward->agent);
-  } else if (const auto* reply = std::get_if<decision::ReplyToCaller>(&route)) {
+  } else if (const auto* reply =
+                 std::get_if<decision::flows::ReplyToCaller>(&route)) {
     const auto& refusal = std::get<flow::Refusal>(reply->message);
     m_metrics.Count(refusal.reason);
     RecordRefusal(refusal, from, "this balancer");
     Send(*m_sockets.callers, wire::EncodeDown(reply->message), from);
   } else {
-    m_metrics.Count(std::get<decision::DropDatagram>(route).reason);
+    m_metrics.Count(std::get<decision::flows::DropDatagram>(route).reason);
   }
 }
 
@@ -160,7 +162,7 @@
   json services = json::object();
   for (const auto& [service, view] : m_router.view().services) {
     json targets = json::array();
-    for (const decision::Candidate& candidate : view.candidates) {
+    for (const decision::flows::Candidate& candidate : view.candidates) {
       targets.push_back({{"agent", candidate.agent.Text()},
                          {"weight", candidate.weight},
                          {"load", candidate.reported_load}});
--- a/filberthollow/balancer/relay_task.h
+++ b/filberthollow/balancer/relay_task.h
@@ -1,5 +1,6 @@
 // The relay service of a balancer. It owns the sockets for callers and agents,
-// and forwards, answers or drops each datagram as decision::Router decides.
+// and forwards, answers or drops each datagram as decision::flows::Router
+// decides.
 #ifndef FILBERTHOLLOW_BALANCER_RELAY_TASK_H_
 #define FILBERTHOLLOW_BALANCER_RELAY_TASK_H_
 
@@ -10,7 +11,7 @@
 
 #include "filberthollow/admin/report.h"
 #include "filberthollow/config/config.h"
-#include "filberthollow/decision/router.h"
+#include "filberthollow/decision/flows/router.h"
 #include "filberthollow/metrics/metrics.h"
 #include "filberthollow/net/loop_task.h"
 #include "filberthollow/net/udp_socket.h"
@@ -21,7 +22,7 @@
 
 // ViewChanged delivers a view of the targets that replaces the previous one.
 struct ViewChanged {
-  std::shared_ptr<const decision::TargetView> view;
+  std::shared_ptr<const decision::flows::TargetView> view;
   friend bool operator==(const ViewChanged&, const ViewChanged&) = default;
 };
 
@@ -81,7 +82,7 @@
   std::string ExplainJson(base::FlowId flow) const;
 
   RelaySockets m_sockets;
-  decision::Router m_router;
+  decision::flows::Router m_router;
   bool m_draining = false;
   metrics::Metrics m_metrics;
   std::deque<FlowEvent> m_flow_events;
--- a/filberthollow/caller/flow_client.h
+++ b/filberthollow/caller/flow_client.h
@@ -26,7 +26,7 @@
 #include <vector>
 
 #include "filberthollow/caller/download.h"
-#include "filberthollow/decision/retry_budget.h"
+#include "filberthollow/decision/load/retry_budget.h"
 #include "filberthollow/flow/messages.h"
 
 namespace filberthollow::caller {
@@ -217,7 +217,7 @@
   const base::ServiceId m_service;
   const ClientOptions m_options;
   std::mt19937_64 m_random;
-  decision::RetryBudget m_budget;
+  decision::load::RetryBudget m_budget;
   std::optional<flow::FlowToken> m_token;
   uint64_t m_next_seq = 1;
   bool m_opening = false;
--- a/filberthollow/caller/flow_client_test.cc
+++ b/filberthollow/caller/flow_client_test.cc
@@ -110,7 +110,7 @@
     path.AddClient("desk");
   }
   SubmitMix(path, 0, 4);
-  path.targets()[0]->flows->SetReadiness(decision::Readiness::kDraining);
+  path.targets()[0]->flows->SetReadiness(decision::flows::Readiness::kDraining);
   path.PublishView(1);
   SubmitMix(path, 4, 8);
   path.PublishView(0);
--- a/filberthollow/passthrough/adapter.h
+++ b/filberthollow/config/adapter.h
@@ -4,19 +4,19 @@
 // makes no load-balancing decisions.
 //
 //   Adapter adapter = platform::MakeAdapter(settings);
-#ifndef FILBERTHOLLOW_PASSTHROUGH_ADAPTER_H_
-#define FILBERTHOLLOW_PASSTHROUGH_ADAPTER_H_
+#ifndef FILBERTHOLLOW_CONFIG_ADAPTER_H_
+#define FILBERTHOLLOW_CONFIG_ADAPTER_H_
 
 #include <optional>
 
 #include "filberthollow/base/error.h"
 #include "filberthollow/config/fleet_config_task.h"
-#include "filberthollow/decision/packet_messages.h"
+#include "filberthollow/decision/flows/packet_messages.h"
 #include "filberthollow/flow/packet.h"
 #include "filberthollow/net/http_server.h"
-#include "filberthollow/passthrough/node_file.h"
+#include "filberthollow/settings/node_settings.h"
 
-namespace filberthollow::passthrough {
+namespace filberthollow::config {
 
 // The functions and objects that the platform provides. They must live as long
 // as the process.
@@ -25,19 +25,19 @@
   const flow::PacketFormat* packet_format = nullptr;
   // Parses an upstream's heartbeat from an HTTP request. Returns nullopt if the
   // request does not identify an upstream.
-  std::optional<decision::UpstreamHeartbeat> (*read_heartbeat)(
+  std::optional<decision::flows::UpstreamHeartbeat> (*read_heartbeat)(
       const net::HttpServerRequest&) = nullptr;
   // Returns whether the request is the network fabric's readiness check, which
   // asks whether callers' packets may be sent to this process.
   bool (*is_readiness_check)(const net::HttpServerRequest&) = nullptr;
   // Reads the current settings of this process from the platform.
-  base::Result<NodeSettings> (*read_settings)() = nullptr;
+  base::Result<settings::NodeSettings> (*read_settings)() = nullptr;
   // Creates the client of the store that holds the configuration.
-  config::StoreFactory store;
+  StoreFactory store;
   // Parses the configuration snapshot object read from `store`.
-  config::SnapshotReader read_snapshot = nullptr;
+  SnapshotReader read_snapshot = nullptr;
 };
 
-}  // namespace filberthollow::passthrough
+}  // namespace filberthollow::config
 
-#endif  // FILBERTHOLLOW_PASSTHROUGH_ADAPTER_H_
+#endif  // FILBERTHOLLOW_CONFIG_ADAPTER_H_
--- a/filberthollow/decision/flow_guesses.cc
+++ b/filberthollow/decision/flows/flow_guesses.cc
@@ -1,8 +1,8 @@
-#include "filberthollow/decision/flow_guesses.h"
+#include "filberthollow/decision/flows/flow_guesses.h"
 
 #include <utility>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 void FlowProbes::Begin(const flow::FlowEnds& flow,
                        FlowProbe probe,
@@ -45,4 +45,4 @@
   });
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/flow_guesses.h
+++ b/filberthollow/decision/flows/flow_guesses.h
@@ -14,8 +14,8 @@
 //   // The upstream sent a packet on the flow:
 //   if (auto probe = probes.Confirm(flow)) { notify(probe->balancer); }
 //   if (probes.IsKnownNotHeld(flow)) { ... not held ... }
-#ifndef FILBERTHOLLOW_DECISION_FLOW_GUESSES_H_
-#define FILBERTHOLLOW_DECISION_FLOW_GUESSES_H_
+#ifndef FILBERTHOLLOW_DECISION_FLOWS_FLOW_GUESSES_H_
+#define FILBERTHOLLOW_DECISION_FLOWS_FLOW_GUESSES_H_
 
 #include <compare>
 #include <cstddef>
@@ -27,7 +27,7 @@
 #include "filberthollow/base/clock.h"
 #include "filberthollow/flow/packet.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 // FlowProbe is a packet that was delivered as a probe.
 struct FlowProbe {
@@ -73,6 +73,6 @@
   std::unordered_map<flow::FlowEnds, Entry, flow::FlowEndsHash> m_entries;
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
 
-#endif  // FILBERTHOLLOW_DECISION_FLOW_GUESSES_H_
+#endif  // FILBERTHOLLOW_DECISION_FLOWS_FLOW_GUESSES_H_
--- a/filberthollow/decision/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -1,9 +1,9 @@
-#include "filberthollow/decision/flow_router.h"
+#include "filberthollow/decision/flows/flow_router.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 namespace {
 
 using flow::FlowEnds;
@@ -136,7 +136,7 @@
                            Offer& offer,
                            base::Millis now,
                            RouterActions& actions) {
-  std::vector<UpstreamCandidate> candidates;
+  std::vector<load::UpstreamCandidate> candidates;
   for (const auto& [address, agent] : m_agents) {
     bool tried = std::find(offer.tried.begin(), offer.tried.end(), address) !=
                  offer.tried.end();
@@ -146,10 +146,11 @@
                             agent.report.load, agent.placed_since_load});
     }
   }
-  std::optional<size_t> best = offer.tried.size() < kMaxOffers
-                                   ? ChooseUpstream(candidates, m_data_centre,
-                                                    flow::FlowEndsHash{}(ends))
-                                   : std::nullopt;
+  std::optional<size_t> best =
+      offer.tried.size() < kMaxOffers
+          ? load::ChooseUpstream(candidates, m_data_centre,
+                                 flow::FlowEndsHash{}(ends))
+          : std::nullopt;
   if (!best && offer.tried.empty() && now - m_started < kDiscoveryPeriod) {
     offer.sent_at = now;
     offer.agent = {};
@@ -259,7 +260,7 @@
 }
 
 void FlowRouter::NoteLoad(base::Address agent,
-                          const UpstreamLoad& load,
+                          const load::UpstreamLoad& load,
                           base::Millis now) {
   if (auto known = m_agents.find(agent); known != m_agents.end()) {
     known->second.heard_at = now;
@@ -333,4 +334,4 @@
   }
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -13,8 +13,8 @@
 //   RouterActions actions;
 //   router.OnCallerPacket(bytes, header, now, actions);
 //   for (const RouterAction& action : actions) { ... }
-#ifndef FILBERTHOLLOW_DECISION_FLOW_ROUTER_H_
-#define FILBERTHOLLOW_DECISION_FLOW_ROUTER_H_
+#ifndef FILBERTHOLLOW_DECISION_FLOWS_FLOW_ROUTER_H_
+#define FILBERTHOLLOW_DECISION_FLOWS_FLOW_ROUTER_H_
 
 #include <cstdint>
 #include <map>
@@ -24,13 +24,13 @@
 #include <variant>
 #include <vector>
 
-#include "filberthollow/decision/gate_actions.h"
-#include "filberthollow/decision/locate_queue.h"
-#include "filberthollow/decision/packet_messages.h"
-#include "filberthollow/decision/route_table.h"
-#include "filberthollow/decision/upstream_choice.h"
+#include "filberthollow/decision/flows/gate_actions.h"
+#include "filberthollow/decision/flows/locate_queue.h"
+#include "filberthollow/decision/flows/packet_messages.h"
+#include "filberthollow/decision/flows/route_table.h"
+#include "filberthollow/decision/load/upstream_choice.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 // SendForward is an action: send the message to the agent.
 struct SendForward {
@@ -51,10 +51,10 @@
 struct OfferMade {
   flow::FlowEnds flow;
   base::Address agent;
-  size_t tries = 0;       // offers of this flow, including this one
-  size_t candidates = 0;  // number of upstreams to choose from
-  UpstreamLoad load;      // load of the chosen upstream
-  base::Millis load_age;  // time since the load was reported
+  size_t tries = 0;         // offers of this flow, including this one
+  size_t candidates = 0;    // number of upstreams to choose from
+  load::UpstreamLoad load;  // load of the chosen upstream
+  base::Millis load_age;    // time since the load was reported
   // Flows placed on the chosen upstream after its load was reported.
   uint32_t placed_since_load = 0;
   friend bool operator==(const OfferMade&, const OfferMade&) = default;
@@ -281,7 +281,7 @@
   void SendQuestions(base::Millis now, RouterActions& actions);
   // Records the load that came with an answer of the agent.
   void NoteLoad(base::Address agent,
-                const UpstreamLoad& load,
+                const load::UpstreamLoad& load,
                 base::Millis now);
   // Records an answer other than kHeld in the search for the flow, if there is
   // one.
@@ -369,6 +369,6 @@
   base::Millis m_next_sweep{0};
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
 
-#endif  // FILBERTHOLLOW_DECISION_FLOW_ROUTER_H_
+#endif  // FILBERTHOLLOW_DECISION_FLOWS_FLOW_ROUTER_H_
--- a/filberthollow/decision/flow_router_searches.cc
+++ b/filberthollow/decision/flows/flow_router_searches.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-#include "filberthollow/decision/flow_router.h"
+#include "filberthollow/decision/flows/flow_router.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 using flow::FlowEnds;
 using flow::PacketHeader;
@@ -250,4 +250,4 @@
   }
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/flow_router_test.cc
+++ b/filberthollow/decision/flows/flow_router_test.cc
@@ -1,11 +1,11 @@
-#include "filberthollow/decision/flow_router.h"
+#include "filberthollow/decision/flows/flow_router.h"
 
 #include <boost/test/unit_test.hpp>
 #include <set>
 
 #include "filberthollow/testing/packet_fixtures.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 namespace {
 
 using base::Address;
@@ -37,7 +37,7 @@
   RouterActions Take() { return std::exchange(actions, {}); }
   void Report(Address agent,
               base::ServiceId service = testing::kDesk,
-              UpstreamLoad load = {.slots = 4}) {
+              load::UpstreamLoad load = {.slots = 4}) {
     router.OnReport({.service = service,
                      .data_centre = kLocalDataCentre,
                      .state = UpstreamState::kReady,
@@ -564,4 +564,4 @@
 }
 
 }  // namespace
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/gate_actions.h
+++ b/filberthollow/decision/flows/gate_actions.h
@@ -1,17 +1,17 @@
 // Actions that UpstreamGate returns to its agent task: what the task is to do,
 // and events that report a decision. FlowRouter returns ResetCaller as well,
 // for a flow that no upstream holds or accepts.
-#ifndef FILBERTHOLLOW_DECISION_GATE_ACTIONS_H_
-#define FILBERTHOLLOW_DECISION_GATE_ACTIONS_H_
+#ifndef FILBERTHOLLOW_DECISION_FLOWS_GATE_ACTIONS_H_
+#define FILBERTHOLLOW_DECISION_FLOWS_GATE_ACTIONS_H_
 
 #include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
 
-#include "filberthollow/decision/packet_messages.h"
+#include "filberthollow/decision/flows/packet_messages.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 // DeliverToUpstream sends a packet to the upstream.
 struct DeliverToUpstream {
@@ -66,7 +66,7 @@
   UpstreamState state{};
   base::Millis heard_ago;  // time since the upstream was last heard
   base::Millis took;       // time that the upstream took to answer
-  UpstreamLoad load;
+  load::UpstreamLoad load;
   friend bool operator==(const OfferDecided&, const OfferDecided&) = default;
 };
 // RequestWaited: a request was queued because all slots of the upstream were
@@ -113,6 +113,6 @@
                                 UpstreamSilence>;
 using GateActions = std::vector<GateAction>;
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
 
-#endif  // FILBERTHOLLOW_DECISION_GATE_ACTIONS_H_
+#endif  // FILBERTHOLLOW_DECISION_FLOWS_GATE_ACTIONS_H_
--- a/filberthollow/decision/locate_queue.cc
+++ b/filberthollow/decision/flows/locate_queue.cc
@@ -1,10 +1,10 @@
-#include "filberthollow/decision/locate_queue.h"
+#include "filberthollow/decision/flows/locate_queue.h"
 
 #include <algorithm>
 #include <cstddef>
 #include <utility>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 void LocateQueue::Add(base::Address agent, const FlowQuestion& question) {
   m_questions[agent].push_back(question);
@@ -39,4 +39,4 @@
   return sends;
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/locate_queue.h
+++ b/filberthollow/decision/flows/locate_queue.h
@@ -8,8 +8,8 @@
 //
 //   queue.Add(agent, {flow, acknowledged});
 //   for (SendLocate& send : queue.Take(now)) { ... }
-#ifndef FILBERTHOLLOW_DECISION_LOCATE_QUEUE_H_
-#define FILBERTHOLLOW_DECISION_LOCATE_QUEUE_H_
+#ifndef FILBERTHOLLOW_DECISION_FLOWS_LOCATE_QUEUE_H_
+#define FILBERTHOLLOW_DECISION_FLOWS_LOCATE_QUEUE_H_
 
 #include <cstdint>
 #include <map>
@@ -17,9 +17,9 @@
 
 #include "filberthollow/base/address.h"
 #include "filberthollow/base/clock.h"
-#include "filberthollow/decision/packet_messages.h"
+#include "filberthollow/decision/flows/packet_messages.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 // SendLocate is an action: send the message to the agent.
 struct SendLocate {
@@ -58,6 +58,6 @@
   base::Millis m_credit_at;
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
 
-#endif  // FILBERTHOLLOW_DECISION_LOCATE_QUEUE_H_
+#endif  // FILBERTHOLLOW_DECISION_FLOWS_LOCATE_QUEUE_H_
--- a/filberthollow/decision/locate_queue_test.cc
+++ b/filberthollow/decision/flows/locate_queue_test.cc
@@ -1,10 +1,10 @@
-#include "filberthollow/decision/locate_queue.h"
+#include "filberthollow/decision/flows/locate_queue.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include "filberthollow/testing/packet_fixtures.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 namespace {
 
 using base::Address;
@@ -66,4 +66,4 @@
 }
 
 }  // namespace
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/packet_messages.h
+++ b/filberthollow/decision/flows/packet_messages.h
@@ -5,8 +5,8 @@
 // agent, so only the agent knows which flows the upstream holds. A balancer
 // forwards packets to agents, asks them which of them holds a flow that is not
 // in its own cache, and receives their reports.
-#ifndef FILBERTHOLLOW_DECISION_PACKET_MESSAGES_H_
-#define FILBERTHOLLOW_DECISION_PACKET_MESSAGES_H_
+#ifndef FILBERTHOLLOW_DECISION_FLOWS_PACKET_MESSAGES_H_
+#define FILBERTHOLLOW_DECISION_FLOWS_PACKET_MESSAGES_H_
 
 #include <compare>
 #include <cstdint>
@@ -16,10 +16,11 @@
 #include "filberthollow/base/address.h"
 #include "filberthollow/base/clock.h"
 #include "filberthollow/base/ids.h"
+#include "filberthollow/decision/load/upstream_load.h"
 #include "filberthollow/flow/packet.h"
 #include "filberthollow/flow/reason.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 // UpstreamState is the state that an upstream announces to its agent, and that
 // the agent reports to balancers.
@@ -43,18 +44,6 @@
                          const UpstreamHeartbeat&) = default;
 };
 
-// UpstreamLoad is the load of an upstream. Its agent counts requests and flows;
-// `slots` and `cold_ms` come from the heartbeats of the upstream.
-struct UpstreamLoad {
-  uint16_t slots = 1;       // requests that it processes concurrently
-  uint16_t in_flight = 0;   // requests not answered yet
-  uint16_t open_flows = 0;  // not closed, pending offers included
-  // Mean of `in_flight` over the last second, times 100.
-  uint16_t in_flight_mean = 0;
-  uint16_t cold_ms = 0;  // time until the upstream works at full speed
-  friend bool operator==(const UpstreamLoad&, const UpstreamLoad&) = default;
-};
-
 // UpstreamReport is sent periodically by an agent to balancers. It describes
 // the upstream of the agent.
 struct UpstreamReport {
@@ -63,7 +52,7 @@
   uint64_t run = 0;          // identifies one run of the upstream
   UpstreamState state{};
   bool silent = false;  // does not answer new flows, or is refusing them
-  UpstreamLoad load;
+  load::UpstreamLoad load;
   uint64_t revision = 0;  // of the configuration that the agent uses
   base::Millis interval;  // time until the next report
   // The agent is about to stop while its upstream keeps running and keeps its
@@ -131,7 +120,7 @@
 // Located answers Locate.
 struct Located {
   std::vector<FlowHolding> flows;
-  UpstreamLoad load;
+  load::UpstreamLoad load;
   friend bool operator==(const Located&, const Located&) = default;
 };
 
@@ -140,13 +129,13 @@
   flow::FlowEnds flow;
   Holding holding{};
   flow::Reason reason{};  // why the flow was refused, with kRefused
-  UpstreamLoad load;
+  load::UpstreamLoad load;
   // The forwarded packet, returned if it was not delivered or the upstream
   // rejected it as a probe; otherwise empty.
   std::string packet;
   friend bool operator==(const FlowAnswer&, const FlowAnswer&) = default;
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
 
-#endif  // FILBERTHOLLOW_DECISION_PACKET_MESSAGES_H_
+#endif  // FILBERTHOLLOW_DECISION_FLOWS_PACKET_MESSAGES_H_
--- a/filberthollow/decision/placement.cc
+++ b/filberthollow/decision/flows/placement.cc
@@ -1,10 +1,10 @@
-#include "filberthollow/decision/placement.h"
+#include "filberthollow/decision/flows/placement.h"
 
 #include <array>
 #include <cmath>
 #include <cstddef>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 namespace {
 
 constexpr uint32_t kFreeSlot = UINT32_MAX;
@@ -117,4 +117,4 @@
   }
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/placement.h
+++ b/filberthollow/decision/flows/placement.h
@@ -5,8 +5,8 @@
 //
 //   const PlacementPolicy& policy = PolicyFor(PlacementKind::kRendezvous);
 //   const Candidate* target = policy.Place(key, candidates, avoid);
-#ifndef FILBERTHOLLOW_DECISION_PLACEMENT_H_
-#define FILBERTHOLLOW_DECISION_PLACEMENT_H_
+#ifndef FILBERTHOLLOW_DECISION_FLOWS_PLACEMENT_H_
+#define FILBERTHOLLOW_DECISION_FLOWS_PLACEMENT_H_
 
 #include <cstdint>
 #include <span>
@@ -15,7 +15,7 @@
 #include "filberthollow/base/address.h"
 #include "filberthollow/base/ids.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 // Candidate is a target that may receive new flows.
 struct Candidate {
@@ -88,6 +88,6 @@
   std::vector<uint32_t> m_slots;
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
 
-#endif  // FILBERTHOLLOW_DECISION_PLACEMENT_H_
+#endif  // FILBERTHOLLOW_DECISION_FLOWS_PLACEMENT_H_
--- a/filberthollow/decision/placement_test.cc
+++ b/filberthollow/decision/flows/placement_test.cc
@@ -1,4 +1,4 @@
-#include "filberthollow/decision/placement.h"
+#include "filberthollow/decision/flows/placement.h"
 
 #include <rapidcheck/boost_test.h>
 #include <boost/test/unit_test.hpp>
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <map>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 namespace {
 
 std::vector<Candidate> Candidates(uint32_t count) {
@@ -106,4 +106,4 @@
 }
 
 }  // namespace
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/request_ledger.cc
+++ b/filberthollow/decision/flows/request_ledger.cc
@@ -1,9 +1,9 @@
-#include "filberthollow/decision/request_ledger.h"
+#include "filberthollow/decision/flows/request_ledger.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 Lookup RequestLedger::Find(base::RequestSeq seq) const {
   auto entry = m_entries.find(seq);
@@ -87,4 +87,4 @@
   }
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/request_ledger.h
+++ b/filberthollow/decision/flows/request_ledger.h
@@ -11,8 +11,8 @@
 //     case Lookup::kKnown: ...                    // answer from the entry
 //     case Lookup::kBelowFloor: ...               // refuse: may have run
 //   }
-#ifndef FILBERTHOLLOW_DECISION_REQUEST_LEDGER_H_
-#define FILBERTHOLLOW_DECISION_REQUEST_LEDGER_H_
+#ifndef FILBERTHOLLOW_DECISION_FLOWS_REQUEST_LEDGER_H_
+#define FILBERTHOLLOW_DECISION_FLOWS_REQUEST_LEDGER_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -23,7 +23,7 @@
 #include "filberthollow/base/ids.h"
 #include "filberthollow/flow/messages.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 // Answer is the complete answer of an upstream to one request.
 struct Answer {
@@ -114,6 +114,6 @@
   Entries m_entries;
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
 
-#endif  // FILBERTHOLLOW_DECISION_REQUEST_LEDGER_H_
+#endif  // FILBERTHOLLOW_DECISION_FLOWS_REQUEST_LEDGER_H_
--- a/filberthollow/decision/route_table.cc
+++ b/filberthollow/decision/flows/route_table.cc
@@ -1,8 +1,8 @@
-#include "filberthollow/decision/route_table.h"
+#include "filberthollow/decision/flows/route_table.h"
 
 #include <algorithm>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 namespace {
 
 constexpr int64_t kMillisPerSecond = 1000;
@@ -72,4 +72,4 @@
                                             : found->second;
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/route_table.h
+++ b/filberthollow/decision/flows/route_table.h
@@ -3,8 +3,8 @@
 //   RouteTable table(revision, tree, routes);
 //   const CompiledRoute* route = table.Find(packet.destination);
 //   base::ServiceId service = route->ServiceFor(flow);
-#ifndef FILBERTHOLLOW_DECISION_ROUTE_TABLE_H_
-#define FILBERTHOLLOW_DECISION_ROUTE_TABLE_H_
+#ifndef FILBERTHOLLOW_DECISION_FLOWS_ROUTE_TABLE_H_
+#define FILBERTHOLLOW_DECISION_FLOWS_ROUTE_TABLE_H_
 
 #include <cstdint>
 #include <unordered_map>
@@ -16,7 +16,7 @@
 #include "filberthollow/flow/packet.h"
 #include "filberthollow/settings/routes.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 // CompiledShare is the weight of one service in a route.
 struct CompiledShare {
@@ -71,6 +71,6 @@
   std::unordered_map<base::ServiceId, uint32_t> m_connection_limits;
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
 
-#endif  // FILBERTHOLLOW_DECISION_ROUTE_TABLE_H_
+#endif  // FILBERTHOLLOW_DECISION_FLOWS_ROUTE_TABLE_H_
--- a/filberthollow/decision/router.cc
+++ b/filberthollow/decision/flows/router.cc
@@ -1,8 +1,8 @@
-#include "filberthollow/decision/router.h"
+#include "filberthollow/decision/flows/router.h"
 
 #include <utility>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 namespace {
 
 using base::Millis;
@@ -114,4 +114,4 @@
   return budget->second.TakeRetry(now);
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/router.h
+++ b/filberthollow/decision/flows/router.h
@@ -7,8 +7,8 @@
 //
 //   Route route = router.RouteMessage(message, caller, now);
 //   std::visit(overloaded{[](const ForwardToAgent&) {...}, ...}, route);
-#ifndef FILBERTHOLLOW_DECISION_ROUTER_H_
-#define FILBERTHOLLOW_DECISION_ROUTER_H_
+#ifndef FILBERTHOLLOW_DECISION_FLOWS_ROUTER_H_
+#define FILBERTHOLLOW_DECISION_FLOWS_ROUTER_H_
 
 #include <array>
 #include <cstdint>
@@ -19,11 +19,11 @@
 #include <variant>
 #include <vector>
 
-#include "filberthollow/decision/placement.h"
-#include "filberthollow/decision/retry_budget.h"
+#include "filberthollow/decision/flows/placement.h"
+#include "filberthollow/decision/load/retry_budget.h"
 #include "filberthollow/flow/messages.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 // ServiceView holds what a balancer knows about one service.
 struct ServiceView {
@@ -102,13 +102,13 @@
   TargetView m_view;
   // Points to the candidates in m_view, by the address of their agent.
   std::unordered_map<base::Address, Candidate*, base::AddressHash> m_by_agent;
-  std::unordered_map<base::ServiceId, RetryBudget> m_budgets;
+  std::unordered_map<base::ServiceId, load::RetryBudget> m_budgets;
 };
 
 // ProposeFlow derives an identifier for the flow that an Open asks for. Copies
 // of one Open get the same identifier on every balancer.
 base::FlowId ProposeFlow(const flow::Open& open, base::Address caller);
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
 
-#endif  // FILBERTHOLLOW_DECISION_ROUTER_H_
+#endif  // FILBERTHOLLOW_DECISION_FLOWS_ROUTER_H_
--- a/filberthollow/decision/target_flows.cc
+++ b/filberthollow/decision/flows/target_flows.cc
@@ -1,9 +1,9 @@
-#include "filberthollow/decision/target_flows.h"
+#include "filberthollow/decision/flows/target_flows.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 namespace {
 
 using base::Millis;
@@ -173,7 +173,7 @@
                             Origin origin,
                             Millis now,
                             AgentActions& actions) {
-  RequestId request_id{request.token.flow, request.seq};
+  load::RequestId request_id{request.token.flow, request.seq};
   Lookup found = flow.ledger.Find(request.seq);
   if (found.kind == Lookup::kKnown) {
     AnswerDuplicate(*found.entry, request_id, origin, actions);
@@ -191,11 +191,11 @@
     return;
   }
   UpdateAnswerBytes(old_answer_bytes, flow);
-  AdmissionRequest queued{.request_id = request_id,
-                          .retry = request.attempt > 1,
-                          .deadline = now + request.time_left,
-                          .queued_at = now,
-                          .caller_ip = origin.caller.ip};
+  load::AdmissionRequest queued{.request_id = request_id,
+                                .retry = request.attempt > 1,
+                                .deadline = now + request.time_left,
+                                .queued_at = now,
+                                .caller_ip = origin.caller.ip};
   if (auto reason = Admit(queued, now)) {
     RefuseRequest(request_id, *reason, RunState::kNotRun, origin, actions);
     return;
@@ -210,7 +210,7 @@
   StartQueuedRequests(now, actions);
 }
 
-std::optional<Reason> TargetFlows::Admit(const AdmissionRequest& queued,
+std::optional<Reason> TargetFlows::Admit(const load::AdmissionRequest& queued,
                                          Millis now) {
   if (m_readiness == Readiness::kDraining) {
     return Reason::kDraining;
@@ -227,7 +227,7 @@
 }
 
 void TargetFlows::AnswerDuplicate(const LedgerEntry& entry,
-                                  RequestId request_id,
+                                  load::RequestId request_id,
                                   Origin origin,
                                   AgentActions& actions) {
   switch (entry.state) {
@@ -271,7 +271,7 @@
                            Flow& flow,
                            Origin origin,
                            AgentActions& actions) {
-  RequestId request_id{cancel.token.flow, cancel.seq};
+  load::RequestId request_id{cancel.token.flow, cancel.seq};
   Lookup found = flow.ledger.Find(cancel.seq);
   if (found.kind == Lookup::kNew) {
     // The request may still arrive after its cancellation: record it as refused
@@ -294,7 +294,7 @@
   CancelRunning(request_id, Reason::kCancelled, actions);
 }
 
-void TargetFlows::CancelRunning(RequestId request_id,
+void TargetFlows::CancelRunning(load::RequestId request_id,
                                 Reason reason,
                                 AgentActions& actions) {
   Active& active = m_active.at(request_id);
@@ -365,7 +365,7 @@
 
 AgentActions TargetFlows::OnTick(Millis now) {
   AgentActions actions;
-  for (const AdmissionRequest& queued : m_admission.TakeExpired(now)) {
+  for (const load::AdmissionRequest& queued : m_admission.TakeExpired(now)) {
     Origin origin = m_active.at(queued.request_id).origin;
     m_active.erase(queued.request_id);
     RefuseRequest(queued.request_id, Reason::kDeadline, RunState::kNotRun,
@@ -400,7 +400,7 @@
   }
   auto flow = m_flows.find(id);
   for (const auto& [seq, entry] : flow->second.ledger.entries()) {
-    RequestId request_id{id, seq};
+    load::RequestId request_id{id, seq};
     if (entry.state == LedgerState::kRunning) {
       CancelRunning(request_id, Reason::kCancelled, actions);
     } else if (entry.state == LedgerState::kQueued) {
@@ -417,7 +417,7 @@
   m_flows.erase(flow);
 }
 
-void TargetFlows::RefuseRequest(RequestId request_id,
+void TargetFlows::RefuseRequest(load::RequestId request_id,
                                 Reason reason,
                                 RunState run_state,
                                 Origin origin,
@@ -440,7 +440,7 @@
 }
 
 void TargetFlows::SendParts(const Answer& answer,
-                            RequestId request_id,
+                            load::RequestId request_id,
                             uint32_t first,
                             uint32_t count,
                             Origin origin,
@@ -461,4 +461,4 @@
   }
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/target_flows.h
+++ b/filberthollow/decision/flows/target_flows.h
@@ -10,8 +10,8 @@
 //   for (const OutgoingMessage& send : actions.sends) ...
 //   for (const UpstreamRequest& start : actions.starts) ...
 //   for (RequestId request_id : actions.cancels) ...
-#ifndef FILBERTHOLLOW_DECISION_TARGET_FLOWS_H_
-#define FILBERTHOLLOW_DECISION_TARGET_FLOWS_H_
+#ifndef FILBERTHOLLOW_DECISION_FLOWS_TARGET_FLOWS_H_
+#define FILBERTHOLLOW_DECISION_FLOWS_TARGET_FLOWS_H_
 
 #include <array>
 #include <cstdint>
@@ -23,11 +23,11 @@
 #include <utility>
 #include <vector>
 
-#include "filberthollow/decision/admission.h"
-#include "filberthollow/decision/request_ledger.h"
+#include "filberthollow/decision/flows/request_ledger.h"
+#include "filberthollow/decision/load/admission.h"
 #include "filberthollow/flow/messages.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 // TargetIdentity identifies the target that an agent serves. It does not change
 // while the agent process runs.
@@ -42,7 +42,7 @@
 
 // TargetLimits holds the limits from the target's settings.
 struct TargetLimits {
-  AdmissionLimits admission;
+  load::AdmissionLimits admission;
   uint32_t connections = 2000;       // maximum number of open flows
   uint32_t flows_per_caller = 2000;  // maximum open flows per caller IP
   // A flow that has been used is closed after this long without a message.
@@ -72,7 +72,7 @@
 
 // UpstreamRequest is an HTTP request to send to the upstream.
 struct UpstreamRequest {
-  RequestId request_id;
+  load::RequestId request_id;
   flow::Method method{};
   std::string path;
   std::string body;
@@ -88,7 +88,7 @@
 struct AgentActions {
   std::vector<OutgoingMessage> sends;
   std::vector<UpstreamRequest> starts;
-  std::vector<RequestId> cancels;  // exchanges with the upstream to abort
+  std::vector<load::RequestId> cancels;  // exchanges with the upstream to abort
   friend bool operator==(const AgentActions&, const AgentActions&) = default;
 };
 
@@ -100,7 +100,7 @@
     kFailedAfterSend,  // failed later: the request may have run
     kTooLarge,         // the answer exceeded the size limit
   };
-  RequestId request_id;
+  load::RequestId request_id;
   Kind kind = kFailedAfterSend;
   uint16_t status = 0;  // HTTP status; set for kAnswered
   std::string body;     // set for kAnswered
@@ -153,7 +153,7 @@
   size_t open_flows() const { return m_flows.size(); }
   // Returns the number of requests that are queued or running.
   uint32_t unfinished() const;
-  const Admission& admission() const { return m_admission; }
+  const load::Admission& admission() const { return m_admission; }
   const TargetIdentity& identity() const { return m_identity; }
   // Returns the number of refusals sent, indexed by reason.
   const std::array<uint64_t, flow::kReasonCount>& refusals() const {
@@ -206,12 +206,12 @@
   Flow* FindFlow(const flow::Up& message, Origin origin, AgentActions& actions);
   // Answers a copy of a request from its ledger entry.
   void AnswerDuplicate(const LedgerEntry& entry,
-                       RequestId request_id,
+                       load::RequestId request_id,
                        Origin origin,
                        AgentActions& actions);
   // Records a request as refused, so that a late copy is not started, and sends
   // the refusal.
-  void RefuseRequest(RequestId request_id,
+  void RefuseRequest(load::RequestId request_id,
                      flow::Reason reason,
                      flow::RunState run_state,
                      Origin origin,
@@ -219,7 +219,7 @@
   void SendRefusal(flow::Refusal refusal, Origin origin, AgentActions& actions);
   // Sends up to `count` parts of an answer, from part `first` on.
   void SendParts(const Answer& answer,
-                 RequestId request_id,
+                 load::RequestId request_id,
                  uint32_t first,
                  uint32_t count,
                  Origin origin,
@@ -227,7 +227,7 @@
   // Starts queued requests while slots are free.
   void StartQueuedRequests(base::Millis now, AgentActions& actions);
   // Queues a new request, or returns the reason to refuse it.
-  std::optional<flow::Reason> Admit(const AdmissionRequest& queued,
+  std::optional<flow::Reason> Admit(const load::AdmissionRequest& queued,
                                     base::Millis now);
   // Records the result of a request and sends the answer or the refusal.
   void RecordResult(Flow& flow,
@@ -237,7 +237,7 @@
                     AgentActions& actions);
   // Requests that a running exchange be aborted. OnResult() then records the
   // outcome.
-  void CancelRunning(RequestId request_id,
+  void CancelRunning(load::RequestId request_id,
                      flow::Reason reason,
                      AgentActions& actions);
   // Updates m_answer_bytes after the ledger of `flow` changed;
@@ -250,19 +250,19 @@
   TargetLimits m_limits;
   flow::KeyRing m_keys;
   Readiness m_readiness = Readiness::kNotReady;
-  Admission m_admission;
+  load::Admission m_admission;
   uint64_t m_flows_opened = 0;  // makes flow identifiers unique
   std::unordered_map<base::FlowId, Flow> m_flows;
   // Maps Flow::proposed to the key in m_flows.
   std::unordered_map<base::FlowId, base::FlowId> m_by_proposed;
   std::map<uint32_t, uint32_t> m_flows_by_caller;  // open flows by caller IP
-  std::map<RequestId, Active> m_active;
+  std::map<load::RequestId, Active> m_active;
   size_t m_answer_bytes = 0;  // sum of answer_bytes() over all flows
   // The last texts of Explain() for closed flows, oldest first.
   std::deque<std::pair<base::FlowId, std::string>> m_closed_flows;
   std::array<uint64_t, flow::kReasonCount> m_refusals{};
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
 
-#endif  // FILBERTHOLLOW_DECISION_TARGET_FLOWS_H_
+#endif  // FILBERTHOLLOW_DECISION_FLOWS_TARGET_FLOWS_H_
--- a/filberthollow/decision/target_flows_explain.cc
+++ b/filberthollow/decision/flows/target_flows_explain.cc
@@ -5,9 +5,9 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
-#include "filberthollow/decision/target_flows.h"
+#include "filberthollow/decision/flows/target_flows.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 namespace {
 
 constexpr std::array<const char*, 4> kStateNames{"queued", "running",
@@ -51,4 +51,4 @@
       .dump();
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/target_flows_test.cc
+++ b/filberthollow/decision/flows/target_flows_test.cc
@@ -1,10 +1,10 @@
 // Tests each kind of refusal by an agent. caller/flow_client_test.cc tests the
 // path from caller to upstream as a whole.
-#include "filberthollow/decision/target_flows.h"
+#include "filberthollow/decision/flows/target_flows.h"
 
 #include <boost/test/unit_test.hpp>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 namespace {
 
 using base::Millis;
@@ -167,4 +167,4 @@
 }
 
 }  // namespace
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/upstream_gate.cc
+++ b/filberthollow/decision/flows/upstream_gate.cc
@@ -1,10 +1,10 @@
-#include "filberthollow/decision/upstream_gate.h"
+#include "filberthollow/decision/flows/upstream_gate.h"
 
 #include <algorithm>
 #include <cstdlib>
 #include <utility>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 namespace {
 
 using flow::FlowEnds;
@@ -397,7 +397,7 @@
   }
 }
 
-UpstreamLoad UpstreamGate::CurrentLoad(base::Millis now) const {
+load::UpstreamLoad UpstreamGate::CurrentLoad(base::Millis now) const {
   auto mean = static_cast<int64_t>(m_meter.Mean(now) * kHundredths);
   auto in_flight = static_cast<int64_t>(m_meter.count() + m_queue.size());
   return {.slots = ClampToUint16(m_liveness.slots()),
@@ -430,4 +430,4 @@
                      !m_liveness.IsShuttingDown()};
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/upstream_gate.h
+++ b/filberthollow/decision/flows/upstream_gate.h
@@ -23,8 +23,8 @@
 //   GateActions actions;
 //   gate.OnForward(forward, header, balancer, now, actions);
 //   for (const GateAction& action : actions) { ... }
-#ifndef FILBERTHOLLOW_DECISION_UPSTREAM_GATE_H_
-#define FILBERTHOLLOW_DECISION_UPSTREAM_GATE_H_
+#ifndef FILBERTHOLLOW_DECISION_FLOWS_UPSTREAM_GATE_H_
+#define FILBERTHOLLOW_DECISION_FLOWS_UPSTREAM_GATE_H_
 
 #include <cstdint>
 #include <map>
@@ -34,15 +34,15 @@
 #include <unordered_map>
 #include <vector>
 
-#include "filberthollow/decision/busy_meter.h"
-#include "filberthollow/decision/flow_guesses.h"
-#include "filberthollow/decision/gate_actions.h"
-#include "filberthollow/decision/packet_messages.h"
-#include "filberthollow/decision/request_queue.h"
-#include "filberthollow/decision/route_table.h"
-#include "filberthollow/decision/upstream_life.h"
+#include "filberthollow/decision/flows/flow_guesses.h"
+#include "filberthollow/decision/flows/gate_actions.h"
+#include "filberthollow/decision/flows/packet_messages.h"
+#include "filberthollow/decision/flows/route_table.h"
+#include "filberthollow/decision/flows/upstream_life.h"
+#include "filberthollow/decision/load/busy_meter.h"
+#include "filberthollow/decision/load/request_queue.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 // GateOptions don't change after construction.
 struct GateOptions {
@@ -252,7 +252,7 @@
   // Removes flows that were closed or idle for too long.
   void DropOldFlows(base::Millis now);
   Flows::iterator Erase(Flows::iterator flow, base::Millis now);
-  UpstreamLoad CurrentLoad(base::Millis now) const;
+  load::UpstreamLoad CurrentLoad(base::Millis now) const;
   // Returns the state that balancers should assume for the upstream.
   UpstreamState ReportedState(base::Millis now) const;
 
@@ -265,14 +265,14 @@
   FlowProbes m_probes;
   UpstreamLiveness m_liveness;
   base::Millis m_last_tick;
-  RequestQueue m_queue;
-  InFlightMeter m_meter;
+  load::RequestQueue m_queue;
+  load::InFlightMeter m_meter;
   uint32_t m_open_flows = 0;  // flows that are not closed, including offers
   base::Millis m_next_sweep{0};
   bool m_offers_pending = false;
   bool m_leaving = false;
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
 
-#endif  // FILBERTHOLLOW_DECISION_UPSTREAM_GATE_H_
+#endif  // FILBERTHOLLOW_DECISION_FLOWS_UPSTREAM_GATE_H_
--- a/filberthollow/decision/upstream_gate_life.cc
+++ b/filberthollow/decision/flows/upstream_gate_life.cc
@@ -1,7 +1,7 @@
 // The part of UpstreamGate that tracks the liveness of the upstream.
-#include "filberthollow/decision/upstream_gate.h"
+#include "filberthollow/decision/flows/upstream_gate.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 using flow::Reason;
 
@@ -83,4 +83,4 @@
   }
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/upstream_gate_requests.cc
+++ b/filberthollow/decision/flows/upstream_gate_requests.cc
@@ -1,9 +1,9 @@
 // The part of UpstreamGate that counts requests in flight and queues requests.
 #include <utility>
 
-#include "filberthollow/decision/upstream_gate.h"
+#include "filberthollow/decision/flows/upstream_gate.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 using flow::FlowEnds;
 using flow::PacketHeader;
@@ -95,7 +95,8 @@
 }
 
 void UpstreamGate::ExpireOverdueRequests(base::Millis now) {
-  while (std::optional<StartedRequest> overdue = m_meter.TakeOverdue(now)) {
+  while (std::optional<load::StartedRequest> overdue =
+             m_meter.TakeOverdue(now)) {
     auto found = m_flows.find(overdue->flow);
     if (found != m_flows.end() &&
         found->second.request_since == overdue->started_at) {
@@ -104,4 +105,4 @@
   }
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/upstream_gate_requests_test.cc
+++ b/filberthollow/decision/flows/upstream_gate_requests_test.cc
@@ -2,7 +2,7 @@
 
 #include "filberthollow/testing/gate_fixture.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 namespace {
 
 using base::Millis;
@@ -121,9 +121,10 @@
   SendRequest(2);
   BOOST_TEST(!SendRequest(3));
   FromUpstream(ToCallerPort(UpstreamData(kUpstreamInitialSequence, 0), 1));
-  GateActions seen = AdvanceTime(InFlightMeter::kMaxRequestTime + kTickStep);
+  GateActions seen =
+      AdvanceTime(load::InFlightMeter::kMaxRequestTime + kTickStep);
   BOOST_TEST(ActionsOfType<DeliverToUpstream>(seen).size() == 1U);
 }
 
 }  // namespace
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/upstream_gate_test.cc
+++ b/filberthollow/decision/flows/upstream_gate_test.cc
@@ -1,10 +1,10 @@
-#include "filberthollow/decision/upstream_gate.h"
+#include "filberthollow/decision/flows/upstream_gate.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include "filberthollow/testing/gate_fixture.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 namespace {
 
 using base::Millis;
@@ -57,7 +57,7 @@
 
 BOOST_FIXTURE_TEST_CASE(NewerRoutesOfBalancerOverrideLocalRoutes, Fixture) {
   DeliverHeartbeat(MakeHeartbeat(1));
-  auto newer = decision::Forward{.revision = 6, .packet = "p"};
+  auto newer = decision::flows::Forward{.revision = 6, .packet = "p"};
   BOOST_TEST(ActionsOfType<DeliverToUpstream>(
                  Forward(Opening(testing::kUnknownRoute), newer))
                  .size() == 1U);
@@ -147,7 +147,8 @@
                         RestartedAgent) {
   BOOST_TEST((AskHolding() == Holding::kUnsure));
   BOOST_TEST(ActionsOfType<DeliverToUpstream>(Forward(Data(101, 500))).empty());
-  auto probe = decision::Forward{.revision = 5, .probe = true, .packet = "p"};
+  auto probe =
+      decision::flows::Forward{.revision = 5, .probe = true, .packet = "p"};
   BOOST_TEST(
       ActionsOfType<DeliverToUpstream>(Forward(Data(101, 500), probe)).size() ==
       1U);
@@ -183,7 +184,8 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(BouncedProbeDoesNotResetCaller, RestartedAgent) {
-  auto probe = decision::Forward{.revision = 5, .probe = true, .packet = "p"};
+  auto probe =
+      decision::flows::Forward{.revision = 5, .probe = true, .packet = "p"};
   Forward(Data(101, 500), probe);
   BOOST_TEST(ActionsOfType<ResetCaller>(FromUpstream(Bounced(Data(101, 500))))
                  .empty());
@@ -194,7 +196,8 @@
 // for a minute, from telling callers that their flows were gone.
 BOOST_FIXTURE_TEST_CASE(BouncedProbeIsReturnedAndFlowIsNotHeld,
                         RestartedAgent) {
-  auto probe = decision::Forward{.revision = 5, .probe = true, .packet = "p"};
+  auto probe =
+      decision::flows::Forward{.revision = 5, .probe = true, .packet = "p"};
   Forward(Data(101, 500), probe);
   auto answers =
       ActionsOfType<AnswerBalancer>(FromUpstream(Bounced(Data(101, 500))));
@@ -398,4 +401,4 @@
 }
 
 }  // namespace
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/upstream_life.cc
+++ b/filberthollow/decision/flows/upstream_life.cc
@@ -1,9 +1,9 @@
-#include "filberthollow/decision/upstream_life.h"
+#include "filberthollow/decision/flows/upstream_life.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 UpstreamLiveness::UpstreamLiveness(base::ServiceId service,
                                    base::Millis heartbeat_interval,
@@ -125,4 +125,4 @@
   }
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/upstream_life.h
+++ b/filberthollow/decision/flows/upstream_life.h
@@ -8,17 +8,17 @@
 //   liveness.RecordActivity(now);  // for each packet that the upstream sends
 //   LivenessChange change = liveness.OnTick(requests_pending, now);
 //   if (change.start_health_check) { ... }
-#ifndef FILBERTHOLLOW_DECISION_UPSTREAM_LIFE_H_
-#define FILBERTHOLLOW_DECISION_UPSTREAM_LIFE_H_
+#ifndef FILBERTHOLLOW_DECISION_FLOWS_UPSTREAM_LIFE_H_
+#define FILBERTHOLLOW_DECISION_FLOWS_UPSTREAM_LIFE_H_
 
 #include <cstdint>
 #include <string>
 
 #include "filberthollow/base/clock.h"
 #include "filberthollow/base/ids.h"
-#include "filberthollow/decision/packet_messages.h"
+#include "filberthollow/decision/flows/packet_messages.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 
 // HeartbeatOutcome is the effect of a heartbeat on the recorded state.
 enum class HeartbeatOutcome : uint8_t {
@@ -167,6 +167,6 @@
   base::Millis m_next_check{0};
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
 
-#endif  // FILBERTHOLLOW_DECISION_UPSTREAM_LIFE_H_
+#endif  // FILBERTHOLLOW_DECISION_FLOWS_UPSTREAM_LIFE_H_
--- a/filberthollow/decision/view_builder.cc
+++ b/filberthollow/decision/flows/view_builder.cc
@@ -1,18 +1,18 @@
-#include "filberthollow/decision/view_builder.h"
+#include "filberthollow/decision/flows/view_builder.h"
 
 #include <algorithm>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 namespace {
 
 // The directory records of the targets of one service.
-using TargetRecords = std::vector<const MemberRecord*>;
+using TargetRecords = std::vector<const membership::MemberRecord*>;
 
 std::map<base::ServiceId, TargetRecords> GroupTargets(
-    const Directory& directory) {
+    const membership::Directory& directory) {
   std::map<base::ServiceId, TargetRecords> groups;
   for (const auto& [id, record] : directory.records()) {
-    if (record.kind == MemberKind::kTarget) {
+    if (record.kind == membership::MemberKind::kTarget) {
       groups[record.service].push_back(&record);
     }
   }
@@ -24,15 +24,15 @@
 bool InPanicMode(const TargetRecords& targets) {
   size_t dead = 0;
   size_t ready = 0;
-  for (const MemberRecord* record : targets) {
-    dead += record->state == MemberState::kDead ? 1 : 0;
-    ready += record->state == MemberState::kReady ? 1 : 0;
+  for (const membership::MemberRecord* record : targets) {
+    dead += record->state == membership::MemberState::kDead ? 1 : 0;
+    ready += record->state == membership::MemberState::kReady ? 1 : 0;
   }
   return dead * 100 > (dead + ready) * kPanicThresholdPercent;
 }
 
-Candidate CandidateOf(const MemberRecord& record,
-                      const std::map<MemberId, uint32_t>& loads) {
+Candidate CandidateOf(const membership::MemberRecord& record,
+                      const std::map<membership::MemberId, uint32_t>& loads) {
   auto load = loads.find(record.id);
   return {.id = base::TargetId{base::Value(record.id)},
           .incarnation = record.incarnation,
@@ -43,9 +43,9 @@
 
 }  // namespace
 
-TargetView BuildView(const Directory& directory,
+TargetView BuildView(const membership::Directory& directory,
                      const settings::Tree& tree,
-                     const std::map<MemberId, uint32_t>& loads) {
+                     const std::map<membership::MemberId, uint32_t>& loads) {
   TargetView view;
   view.ended_incarnations = directory.replaced_incarnations();
   for (const auto& [name, node] : tree.services) {
@@ -58,13 +58,15 @@
   for (const auto& [id, targets] : GroupTargets(directory)) {
     bool in_panic_mode = InPanicMode(targets);
     auto service = view.services.find(id);
-    for (const MemberRecord* record : targets) {
-      bool dead = record->state == MemberState::kDead && !in_panic_mode;
-      if (dead || record->state == MemberState::kLeft) {
+    for (const membership::MemberRecord* record : targets) {
+      bool dead =
+          record->state == membership::MemberState::kDead && !in_panic_mode;
+      if (dead || record->state == membership::MemberState::kLeft) {
         view.ended_incarnations.insert(record->incarnation);
       }
-      bool takes_flows = record->state == MemberState::kReady ||
-                         (record->state == MemberState::kDead && in_panic_mode);
+      bool takes_flows =
+          record->state == membership::MemberState::kReady ||
+          (record->state == membership::MemberState::kDead && in_panic_mode);
       if (takes_flows && service != view.services.end()) {
         service->second.candidates.push_back(CandidateOf(*record, loads));
       }
@@ -76,4 +78,4 @@
   return view;
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/view_builder_test.cc
+++ b/filberthollow/decision/flows/view_builder_test.cc
@@ -1,15 +1,15 @@
-#include "filberthollow/decision/view_builder.h"
+#include "filberthollow/decision/flows/view_builder.h"
 
 #include <boost/test/unit_test.hpp>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::flows {
 namespace {
 
 const base::ServiceId kService = base::ServiceIdOf("desk");
 
-MemberRecord Target(uint64_t id, MemberState state) {
-  return {.id = MemberId{id},
-          .kind = MemberKind::kTarget,
+membership::MemberRecord Target(uint64_t id, membership::MemberState state) {
+  return {.id = membership::MemberId{id},
+          .kind = membership::MemberKind::kTarget,
           .state = state,
           .incarnation = base::Incarnation{id * 10},
           .sequence = 1,
@@ -26,10 +26,10 @@
 
 // Builds the view of one service with `ready` ready and `dead` dead targets.
 TargetView ViewOf(uint64_t ready, uint64_t dead) {
-  Directory directory;
+  membership::Directory directory;
   for (uint64_t id = 1; id <= ready + dead; ++id) {
-    directory.Merge(
-        Target(id, id <= ready ? MemberState::kReady : MemberState::kDead));
+    directory.Merge(Target(id, id <= ready ? membership::MemberState::kReady
+                                           : membership::MemberState::kDead));
   }
   return BuildView(directory, ServiceTree(), {});
 }
@@ -49,11 +49,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(OnlyReadyTargetsOfDeclaredServicesAreCandidates) {
-  Directory directory;
-  directory.Merge(Target(1, MemberState::kDraining));
-  directory.Merge(Target(2, MemberState::kStarting));
-  directory.Merge(Target(3, MemberState::kLeft));
-  MemberRecord other = Target(4, MemberState::kReady);
+  membership::Directory directory;
+  directory.Merge(Target(1, membership::MemberState::kDraining));
+  directory.Merge(Target(2, membership::MemberState::kStarting));
+  directory.Merge(Target(3, membership::MemberState::kLeft));
+  membership::MemberRecord other = Target(4, membership::MemberState::kReady);
   other.service = base::ServiceIdOf("undeclared");
   directory.Merge(other);
   TargetView view = BuildView(directory, ServiceTree(), {});
@@ -67,11 +67,12 @@
 }
 
 BOOST_AUTO_TEST_CASE(LatestLoadOverridesTheDirectoryRecord) {
-  Directory directory;
-  directory.Merge(Target(1, MemberState::kReady));
-  TargetView view = BuildView(directory, ServiceTree(), {{MemberId{1}, 9}});
+  membership::Directory directory;
+  directory.Merge(Target(1, membership::MemberState::kReady));
+  TargetView view =
+      BuildView(directory, ServiceTree(), {{membership::MemberId{1}, 9}});
   BOOST_TEST(view.services.at(kService).candidates[0].reported_load == 9u);
 }
 
 }  // namespace
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/admission.cc
+++ b/filberthollow/decision/load/admission.cc
@@ -1,8 +1,8 @@
-#include "filberthollow/decision/admission.h"
+#include "filberthollow/decision/load/admission.h"
 
 #include <algorithm>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::load {
 namespace {
 
 using flow::Reason;
@@ -122,4 +122,4 @@
   return m_first_attempts.Remove(request_id) || m_retries.Remove(request_id);
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::load
--- a/filberthollow/decision/admission.h
+++ b/filberthollow/decision/load/admission.h
@@ -10,8 +10,8 @@
 //   while (auto queued = admission.StartNext(now)) start(queued->request_id);
 //   ...
 //   admission.Finish(duration);
-#ifndef FILBERTHOLLOW_DECISION_ADMISSION_H_
-#define FILBERTHOLLOW_DECISION_ADMISSION_H_
+#ifndef FILBERTHOLLOW_DECISION_LOAD_ADMISSION_H_
+#define FILBERTHOLLOW_DECISION_LOAD_ADMISSION_H_
 
 #include <compare>
 #include <cstdint>
@@ -23,7 +23,7 @@
 #include "filberthollow/base/ids.h"
 #include "filberthollow/flow/reason.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::load {
 
 // RequestId identifies a request at one agent.
 struct RequestId {
@@ -130,6 +130,6 @@
   FairQueue m_retries;
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::load
 
-#endif  // FILBERTHOLLOW_DECISION_ADMISSION_H_
+#endif  // FILBERTHOLLOW_DECISION_LOAD_ADMISSION_H_
--- a/filberthollow/decision/admission_test.cc
+++ b/filberthollow/decision/load/admission_test.cc
@@ -1,11 +1,11 @@
-#include "filberthollow/decision/admission.h"
+#include "filberthollow/decision/load/admission.h"
 
 #include <rapidcheck/boost_test.h>
 #include <boost/test/unit_test.hpp>
 
-#include "filberthollow/decision/retry_budget.h"
+#include "filberthollow/decision/load/retry_budget.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::load {
 namespace {
 
 using base::Millis;
@@ -145,4 +145,4 @@
 }
 
 }  // namespace
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::load
--- a/filberthollow/decision/busy_meter.cc
+++ b/filberthollow/decision/load/busy_meter.cc
@@ -1,8 +1,8 @@
-#include "filberthollow/decision/busy_meter.h"
+#include "filberthollow/decision/load/busy_meter.h"
 
 #include <cmath>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::load {
 
 double InFlightMeter::Mean(base::Millis now) const {
   double elapsed = static_cast<double>((now - m_mean_at).count());
@@ -40,4 +40,4 @@
   return oldest;
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::load
--- a/filberthollow/decision/busy_meter.h
+++ b/filberthollow/decision/load/busy_meter.h
@@ -3,8 +3,8 @@
 //
 //   meter.Begin(flow, now);   // a request was delivered
 //   meter.End(now);           // its answer has begun
-#ifndef FILBERTHOLLOW_DECISION_BUSY_METER_H_
-#define FILBERTHOLLOW_DECISION_BUSY_METER_H_
+#ifndef FILBERTHOLLOW_DECISION_LOAD_BUSY_METER_H_
+#define FILBERTHOLLOW_DECISION_LOAD_BUSY_METER_H_
 
 #include <cstdint>
 #include <deque>
@@ -13,7 +13,7 @@
 #include "filberthollow/base/clock.h"
 #include "filberthollow/flow/packet.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::load {
 
 // StartedRequest is a request that was delivered. It may have been answered
 // since.
@@ -63,6 +63,6 @@
   std::deque<StartedRequest> m_started;  // oldest first
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::load
 
-#endif  // FILBERTHOLLOW_DECISION_BUSY_METER_H_
+#endif  // FILBERTHOLLOW_DECISION_LOAD_BUSY_METER_H_
--- a/filberthollow/decision/busy_meter_test.cc
+++ b/filberthollow/decision/load/busy_meter_test.cc
@@ -1,8 +1,8 @@
-#include "filberthollow/decision/busy_meter.h"
+#include "filberthollow/decision/load/busy_meter.h"
 
 #include <boost/test/unit_test.hpp>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::load {
 namespace {
 
 using base::Millis;
@@ -33,4 +33,4 @@
 }
 
 }  // namespace
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::load
--- a/filberthollow/decision/request_queue.cc
+++ b/filberthollow/decision/load/request_queue.cc
@@ -1,8 +1,8 @@
-#include "filberthollow/decision/request_queue.h"
+#include "filberthollow/decision/load/request_queue.h"
 
 #include <algorithm>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::load {
 
 void RequestQueue::Add(const QueuedRequest& request) {
   m_queued[request.priority].push_back(request);
@@ -48,4 +48,4 @@
   return size;
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::load
--- a/filberthollow/decision/request_queue.h
+++ b/filberthollow/decision/load/request_queue.h
@@ -13,8 +13,8 @@
 //     deliver(*flow);
 //     ++in_flight;
 //   }
-#ifndef FILBERTHOLLOW_DECISION_REQUEST_QUEUE_H_
-#define FILBERTHOLLOW_DECISION_REQUEST_QUEUE_H_
+#ifndef FILBERTHOLLOW_DECISION_LOAD_REQUEST_QUEUE_H_
+#define FILBERTHOLLOW_DECISION_LOAD_REQUEST_QUEUE_H_
 
 #include <cstdint>
 #include <deque>
@@ -24,7 +24,7 @@
 #include "filberthollow/base/clock.h"
 #include "filberthollow/flow/packet.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::load {
 
 // QueuedRequest is a request in the queue.
 struct QueuedRequest {
@@ -75,6 +75,6 @@
   std::map<uint32_t, std::deque<QueuedRequest>> m_queued;  // by priority
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::load
 
-#endif  // FILBERTHOLLOW_DECISION_REQUEST_QUEUE_H_
+#endif  // FILBERTHOLLOW_DECISION_LOAD_REQUEST_QUEUE_H_
--- a/filberthollow/decision/request_queue_test.cc
+++ b/filberthollow/decision/load/request_queue_test.cc
@@ -1,8 +1,8 @@
-#include "filberthollow/decision/request_queue.h"
+#include "filberthollow/decision/load/request_queue.h"
 
 #include <boost/test/unit_test.hpp>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::load {
 namespace {
 
 using base::Millis;
@@ -60,4 +60,4 @@
 }
 
 }  // namespace
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::load
--- a/filberthollow/decision/retry_budget.cc
+++ b/filberthollow/decision/load/retry_budget.cc
@@ -1,8 +1,8 @@
-#include "filberthollow/decision/retry_budget.h"
+#include "filberthollow/decision/load/retry_budget.h"
 
 #include <algorithm>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::load {
 
 void RetryBudget::Advance(base::Millis now) {
   int64_t step = now.count() / kStep.count();
@@ -34,4 +34,4 @@
   return true;
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::load
--- a/filberthollow/decision/retry_budget.h
+++ b/filberthollow/decision/load/retry_budget.h
@@ -3,15 +3,15 @@
 //   RetryBudget budget(/*percent=*/10);
 //   budget.CountFirstAttempt(now);
 //   if (!budget.TakeRetry(now)) refuse(Reason::kRetryBudget);
-#ifndef FILBERTHOLLOW_DECISION_RETRY_BUDGET_H_
-#define FILBERTHOLLOW_DECISION_RETRY_BUDGET_H_
+#ifndef FILBERTHOLLOW_DECISION_LOAD_RETRY_BUDGET_H_
+#define FILBERTHOLLOW_DECISION_LOAD_RETRY_BUDGET_H_
 
 #include <array>
 #include <cstdint>
 
 #include "filberthollow/base/clock.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::load {
 
 // RetryBudget counts attempts over a sliding window of length kWindow that
 // advances in steps of kStep. It is not thread-safe.
@@ -50,6 +50,6 @@
   Counts m_sum;                           // over m_counts
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::load
 
-#endif  // FILBERTHOLLOW_DECISION_RETRY_BUDGET_H_
+#endif  // FILBERTHOLLOW_DECISION_LOAD_RETRY_BUDGET_H_
--- a/filberthollow/decision/upstream_choice.cc
+++ b/filberthollow/decision/load/upstream_choice.cc
@@ -1,11 +1,11 @@
-#include "filberthollow/decision/upstream_choice.h"
+#include "filberthollow/decision/load/upstream_choice.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "filberthollow/base/ids.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::load {
 namespace {
 
 constexpr double kHundredths = 100.0;
@@ -57,4 +57,4 @@
   return best;
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::load
--- a/filberthollow/decision/upstream_choice.h
+++ b/filberthollow/decision/load/upstream_choice.h
@@ -8,8 +8,8 @@
 //
 //   std::optional<size_t> best =
 //       ChooseUpstream(candidates, own_data_centre, key);
-#ifndef FILBERTHOLLOW_DECISION_UPSTREAM_CHOICE_H_
-#define FILBERTHOLLOW_DECISION_UPSTREAM_CHOICE_H_
+#ifndef FILBERTHOLLOW_DECISION_LOAD_UPSTREAM_CHOICE_H_
+#define FILBERTHOLLOW_DECISION_LOAD_UPSTREAM_CHOICE_H_
 
 #include <compare>
 #include <cstdint>
@@ -17,9 +17,9 @@
 #include <span>
 
 #include "filberthollow/base/address.h"
-#include "filberthollow/decision/packet_messages.h"
+#include "filberthollow/decision/load/upstream_load.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::load {
 
 // UpstreamCandidate is an upstream that may be offered the flow.
 struct UpstreamCandidate {
@@ -47,6 +47,6 @@
     uint64_t data_centre,
     uint64_t key);
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::load
 
-#endif  // FILBERTHOLLOW_DECISION_UPSTREAM_CHOICE_H_
+#endif  // FILBERTHOLLOW_DECISION_LOAD_UPSTREAM_CHOICE_H_
--- a/filberthollow/decision/upstream_choice_test.cc
+++ b/filberthollow/decision/load/upstream_choice_test.cc
@@ -1,17 +1,17 @@
-#include "filberthollow/decision/upstream_choice.h"
+#include "filberthollow/decision/load/upstream_choice.h"
 
 #include <boost/test/unit_test.hpp>
 #include <vector>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::load {
 namespace {
 
 constexpr uint64_t kLocalDataCentre = 1;
 constexpr uint64_t kRemoteDataCentre = 2;
 
 UpstreamCandidate Candidate(uint32_t host,
-                            uint64_t data_centre,
-                            UpstreamLoad load) {
+                                   uint64_t data_centre,
+                                   UpstreamLoad load) {
   return {.agent = {host, 1}, .data_centre = data_centre, .load = load};
 }
 
@@ -38,7 +38,7 @@
 BOOST_AUTO_TEST_CASE(ColdUpstreamCountsAsBusier) {
   std::vector<UpstreamCandidate> candidates{
       Candidate(1, kLocalDataCentre,
-                {.slots = 4, .in_flight = 2, .cold_ms = 900}),
+                       {.slots = 4, .in_flight = 2, .cold_ms = 900}),
       Candidate(2, kLocalDataCentre, {.slots = 4, .in_flight = 2})};
   BOOST_TEST(*ChooseUpstream(candidates, kLocalDataCentre, 0) == 1U);
 }
@@ -46,9 +46,9 @@
 BOOST_AUTO_TEST_CASE(OpenFlowsCountByTheirExpectedRequests) {
   std::vector<UpstreamCandidate> candidates{
       Candidate(1, kLocalDataCentre,
-                {.slots = 4, .open_flows = 40, .in_flight_mean = 100}),
+                       {.slots = 4, .open_flows = 40, .in_flight_mean = 100}),
       Candidate(2, kLocalDataCentre,
-                {.slots = 4, .open_flows = 5, .in_flight_mean = 100})};
+                       {.slots = 4, .open_flows = 5, .in_flight_mean = 100})};
   BOOST_TEST(*ChooseUpstream(candidates, kLocalDataCentre, 0) == 1U);
 }
 
@@ -63,4 +63,4 @@
 }
 
 }  // namespace
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::load
--- a/filberthollow/decision/balancer_set.cc
+++ b/filberthollow/decision/membership/balancer_set.cc
@@ -1,10 +1,10 @@
-#include "filberthollow/decision/balancer_set.h"
+#include "filberthollow/decision/membership/balancer_set.h"
 
 #include <algorithm>
 
 #include "filberthollow/base/ids.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::membership {
 
 bool BalancerSet::Add(base::Address balancer, base::Millis now) {
   return balancer != m_self &&
@@ -113,4 +113,4 @@
   }
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::membership
--- a/filberthollow/decision/balancer_set.h
+++ b/filberthollow/decision/membership/balancer_set.h
@@ -3,8 +3,8 @@
 //   BalancerSet balancers(own_address);
 //   balancers.OnHello(from, run, leaving, now);
 //   for (base::Address to : balancers.Live(now)) { ... }
-#ifndef FILBERTHOLLOW_DECISION_BALANCER_SET_H_
-#define FILBERTHOLLOW_DECISION_BALANCER_SET_H_
+#ifndef FILBERTHOLLOW_DECISION_MEMBERSHIP_BALANCER_SET_H_
+#define FILBERTHOLLOW_DECISION_MEMBERSHIP_BALANCER_SET_H_
 
 #include <map>
 #include <vector>
@@ -12,7 +12,7 @@
 #include "filberthollow/base/address.h"
 #include "filberthollow/base/clock.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::membership {
 
 // Reports that a balancer has become silent or has been heard from again.
 struct BalancerLivenessChange {
@@ -112,6 +112,6 @@
   base::Address m_last_advertised;
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::membership
 
-#endif  // FILBERTHOLLOW_DECISION_BALANCER_SET_H_
+#endif  // FILBERTHOLLOW_DECISION_MEMBERSHIP_BALANCER_SET_H_
--- a/filberthollow/decision/balancer_set_test.cc
+++ b/filberthollow/decision/membership/balancer_set_test.cc
@@ -1,10 +1,10 @@
-#include "filberthollow/decision/balancer_set.h"
+#include "filberthollow/decision/membership/balancer_set.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <set>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::membership {
 namespace {
 
 using base::Address;
@@ -132,4 +132,4 @@
 }
 
 }  // namespace
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::membership
--- a/filberthollow/decision/directory.cc
+++ b/filberthollow/decision/membership/directory.cc
@@ -1,8 +1,8 @@
-#include "filberthollow/decision/directory.h"
+#include "filberthollow/decision/membership/directory.h"
 
 #include <algorithm>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::membership {
 namespace {
 
 BucketIndex BucketOf(MemberId id) {
@@ -85,4 +85,4 @@
   return kGroups;
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::membership
--- a/filberthollow/decision/directory.h
+++ b/filberthollow/decision/membership/directory.h
@@ -9,8 +9,8 @@
 //
 //   if (directory.Merge(record)) { /* the record is new */ }
 //   const GroupDigests& mine = directory.group_digests();
-#ifndef FILBERTHOLLOW_DECISION_DIRECTORY_H_
-#define FILBERTHOLLOW_DECISION_DIRECTORY_H_
+#ifndef FILBERTHOLLOW_DECISION_MEMBERSHIP_DIRECTORY_H_
+#define FILBERTHOLLOW_DECISION_MEMBERSHIP_DIRECTORY_H_
 
 #include <array>
 #include <cstdint>
@@ -20,9 +20,9 @@
 #include <vector>
 
 #include "filberthollow/base/clock.h"
-#include "filberthollow/decision/member_record.h"
+#include "filberthollow/decision/membership/member_record.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::membership {
 
 inline constexpr uint32_t kGroups = 32;
 inline constexpr uint32_t kBucketsPerGroup = 32;
@@ -84,6 +84,6 @@
   GroupDigests m_group_digests{};
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::membership
 
-#endif  // FILBERTHOLLOW_DECISION_DIRECTORY_H_
+#endif  // FILBERTHOLLOW_DECISION_MEMBERSHIP_DIRECTORY_H_
--- a/filberthollow/decision/gossip.cc
+++ b/filberthollow/decision/membership/gossip.cc
@@ -1,10 +1,10 @@
-#include "filberthollow/decision/gossip.h"
+#include "filberthollow/decision/membership/gossip.h"
 
 #include <algorithm>
 #include <bit>
 #include <utility>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::membership {
 
 Gossip::Gossip(MemberRecord self, uint64_t seed)
     : m_self(self), m_random(seed) {
@@ -249,4 +249,4 @@
   return peers;
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::membership
--- a/filberthollow/decision/gossip.h
+++ b/filberthollow/decision/membership/gossip.h
@@ -11,8 +11,8 @@
 //   for (const GossipSend& send : gossip.OnMessage(message, from)) {
 //     Transmit(send);
 //   }
-#ifndef FILBERTHOLLOW_DECISION_GOSSIP_H_
-#define FILBERTHOLLOW_DECISION_GOSSIP_H_
+#ifndef FILBERTHOLLOW_DECISION_MEMBERSHIP_GOSSIP_H_
+#define FILBERTHOLLOW_DECISION_MEMBERSHIP_GOSSIP_H_
 
 #include <cstdint>
 #include <deque>
@@ -22,10 +22,10 @@
 #include <unordered_map>
 #include <vector>
 
-#include "filberthollow/decision/directory.h"
-#include "filberthollow/decision/observer.h"
+#include "filberthollow/decision/membership/directory.h"
+#include "filberthollow/decision/membership/observer.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::membership {
 
 // The content of one gossip datagram.
 struct GossipMessage {
@@ -169,6 +169,6 @@
   std::vector<Suspicion> m_received_suspicions;
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::membership
 
-#endif  // FILBERTHOLLOW_DECISION_GOSSIP_H_
+#endif  // FILBERTHOLLOW_DECISION_MEMBERSHIP_GOSSIP_H_
--- a/filberthollow/decision/gossip_test.cc
+++ b/filberthollow/decision/membership/gossip_test.cc
@@ -1,4 +1,4 @@
-#include "filberthollow/decision/gossip.h"
+#include "filberthollow/decision/membership/gossip.h"
 
 #include <rapidcheck/boost_test.h>
 #include <boost/test/unit_test.hpp>
@@ -7,7 +7,7 @@
 
 #include "filberthollow/testing/fake_links.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::membership {
 namespace {
 
 using base::Millis;
@@ -122,4 +122,4 @@
 }
 
 }  // namespace
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::membership
--- a/filberthollow/decision/member_record.h
+++ b/filberthollow/decision/membership/member_record.h
@@ -4,8 +4,8 @@
 // and takes a new, higher `incarnation` on every start. Other processes only
 // set the state to kDead. Of two records of a member, every process keeps the
 // newer one; see Supersedes().
-#ifndef FILBERTHOLLOW_DECISION_MEMBER_RECORD_H_
-#define FILBERTHOLLOW_DECISION_MEMBER_RECORD_H_
+#ifndef FILBERTHOLLOW_DECISION_MEMBERSHIP_MEMBER_RECORD_H_
+#define FILBERTHOLLOW_DECISION_MEMBERSHIP_MEMBER_RECORD_H_
 
 #include <compare>
 #include <cstdint>
@@ -13,7 +13,7 @@
 #include "filberthollow/base/address.h"
 #include "filberthollow/base/ids.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::membership {
 
 // Identifies a member across restarts: the TargetId of a target, or the hash
 // of a balancer's name.
@@ -72,6 +72,6 @@
   return record.state < MemberState::kLeft;
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::membership
 
-#endif  // FILBERTHOLLOW_DECISION_MEMBER_RECORD_H_
+#endif  // FILBERTHOLLOW_DECISION_MEMBERSHIP_MEMBER_RECORD_H_
--- a/filberthollow/decision/observer.cc
+++ b/filberthollow/decision/membership/observer.cc
@@ -1,9 +1,9 @@
-#include "filberthollow/decision/observer.h"
+#include "filberthollow/decision/membership/observer.h"
 
 #include <algorithm>
 #include <tuple>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::membership {
 
 void Observer::OnHeartbeat(const MemberRecord& record, base::Millis now) {
   if (record.state == MemberState::kLeft) {
@@ -62,4 +62,4 @@
          suspected->second.sequence == record.sequence;
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::membership
--- a/filberthollow/decision/observer.h
+++ b/filberthollow/decision/membership/observer.h
@@ -9,8 +9,8 @@
 //   observer.OnHeartbeat(record, now);
 //   for (const Suspicion& s : observer.OnTick(now)) gossip.SpreadSuspicion(s);
 //   if (observer.OnSuspicion(s, balancer_count)) { /* declare it dead */ }
-#ifndef FILBERTHOLLOW_DECISION_OBSERVER_H_
-#define FILBERTHOLLOW_DECISION_OBSERVER_H_
+#ifndef FILBERTHOLLOW_DECISION_MEMBERSHIP_OBSERVER_H_
+#define FILBERTHOLLOW_DECISION_MEMBERSHIP_OBSERVER_H_
 
 #include <compare>
 #include <cstdint>
@@ -20,9 +20,9 @@
 #include <vector>
 
 #include "filberthollow/base/clock.h"
-#include "filberthollow/decision/member_record.h"
+#include "filberthollow/decision/membership/member_record.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::membership {
 
 // One observer's statement that it no longer receives heartbeats from a member.
 struct Suspicion {
@@ -99,6 +99,6 @@
   std::unordered_map<MemberId, SuspectedVersion> m_suspected;
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::membership
 
-#endif  // FILBERTHOLLOW_DECISION_OBSERVER_H_
+#endif  // FILBERTHOLLOW_DECISION_MEMBERSHIP_OBSERVER_H_
--- a/filberthollow/decision/observer_choice.cc
+++ b/filberthollow/decision/membership/observer_choice.cc
@@ -1,9 +1,9 @@
-#include "filberthollow/decision/observer_choice.h"
+#include "filberthollow/decision/membership/observer_choice.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::membership {
 
 void ObserverChoice::SetBalancers(const std::vector<base::Address>& balancers) {
   std::vector<RankedBalancer> previous = std::exchange(m_balancers, {});
@@ -57,4 +57,4 @@
   }
 }
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::membership
--- a/filberthollow/decision/observer_choice.h
+++ b/filberthollow/decision/membership/observer_choice.h
@@ -9,17 +9,17 @@
 //   choice.SetBalancers(addresses);
 //   for (base::Address to : choice.Choose(now)) Send(to);
 //   choice.OnAnswer(from);
-#ifndef FILBERTHOLLOW_DECISION_OBSERVER_CHOICE_H_
-#define FILBERTHOLLOW_DECISION_OBSERVER_CHOICE_H_
+#ifndef FILBERTHOLLOW_DECISION_MEMBERSHIP_OBSERVER_CHOICE_H_
+#define FILBERTHOLLOW_DECISION_MEMBERSHIP_OBSERVER_CHOICE_H_
 
 #include <cstdint>
 #include <vector>
 
 #include "filberthollow/base/address.h"
 #include "filberthollow/base/clock.h"
-#include "filberthollow/decision/member_record.h"
+#include "filberthollow/decision/membership/member_record.h"
 
-namespace filberthollow::decision {
+namespace filberthollow::decision::membership {
 
 // The choice of one agent. Not thread-safe: use it from a single task.
 class ObserverChoice {
@@ -63,6 +63,6 @@
   std::vector<RankedBalancer> m_balancers;  // highest rank first
 };
 
-}  // namespace filberthollow::decision
+}  // namespace filberthollow::decision::membership
 
-#endif  // FILBERTHOLLOW_DECISION_OBSERVER_CHOICE_H_
+#endif  // FILBERTHOLLOW_DECISION_MEMBERSHIP_OBSERVER_CHOICE_H_
--- a/filberthollow/measure/fixtures.cc
+++ b/filberthollow/measure/fixtures.cc
@@ -7,7 +7,7 @@
 namespace filberthollow::measure::internal {
 namespace {
 
-using decision::MemberRecord;
+using decision::membership::MemberRecord;
 
 // 5,300 targets of 720 services are about seven targets each.
 constexpr uint32_t kTargetsPerService = 7;
@@ -32,9 +32,9 @@
 }
 
 MemberRecord TargetRecord(uint32_t index) {
-  return {.id = decision::MemberId{base::HashWords({index, 99})},
-          .kind = decision::MemberKind::kTarget,
-          .state = decision::MemberState::kReady,
+  return {.id = decision::membership::MemberId{base::HashWords({index, 99})},
+          .kind = decision::membership::MemberKind::kTarget,
+          .state = decision::membership::MemberState::kReady,
           .incarnation = base::Incarnation{1000 + index},
           .sequence = 1,
           .service = base::ServiceIdOf(ServiceName(index)),
@@ -43,8 +43,8 @@
           .weight = 100};
 }
 
-std::vector<decision::Candidate> MakeCandidates(uint32_t count) {
-  std::vector<decision::Candidate> candidates;
+std::vector<decision::flows::Candidate> MakeCandidates(uint32_t count) {
+  std::vector<decision::flows::Candidate> candidates;
   for (uint32_t i = 0; i < count; ++i) {
     candidates.push_back({.id = base::TargetId{base::HashWords({i})},
                           .incarnation = base::Incarnation{i + 1},
--- a/filberthollow/measure/fixtures.h
+++ b/filberthollow/measure/fixtures.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "filberthollow/decision/member_record.h"
-#include "filberthollow/decision/placement.h"
+#include "filberthollow/decision/flows/placement.h"
+#include "filberthollow/decision/membership/member_record.h"
 #include "filberthollow/flow/token.h"
 #include "filberthollow/measure/slopes.h"
 
@@ -23,9 +23,9 @@
 // Returns the name of the service that target `index` belongs to.
 std::string ServiceName(uint32_t index);
 // Returns the membership record of target `index`: ready, weight 100.
-decision::MemberRecord TargetRecord(uint32_t index);
+decision::membership::MemberRecord TargetRecord(uint32_t index);
 // Returns `count` candidates of equal weight, each with its own agent.
-std::vector<decision::Candidate> MakeCandidates(uint32_t count);
+std::vector<decision::flows::Candidate> MakeCandidates(uint32_t count);
 // Runs `call` with 0 to calls - 1 and returns the mean processor time of the
 // current thread for one call, in microseconds. Use the results of `call`, for
 // example their sum, or the optimiser may remove the work.
--- a/filberthollow/measure/gossip_slopes.cc
+++ b/filberthollow/measure/gossip_slopes.cc
@@ -22,7 +22,8 @@
     links.Run(kMeasuredRounds);
     double seconds =
         static_cast<double>(
-            (decision::Gossip::kRoundInterval * kMeasuredRounds).count()) /
+            (decision::membership::Gossip::kRoundInterval * kMeasuredRounds)
+                .count()) /
         1000;
     series.points.push_back(
         {static_cast<double>(size),
@@ -82,7 +83,8 @@
     links.Run(1);
     double bytes = static_cast<double>(links.TakeTraffic().bytes) / kBalancers;
     double rate = bytes * 1000 /
-                  static_cast<double>(decision::Gossip::kRoundInterval.count());
+                  static_cast<double>(
+                      decision::membership::Gossip::kRoundInterval.count());
     burst.bytes += bytes;
     burst.peak_rate = std::max(burst.peak_rate, rate);
     ++burst.rounds;
--- a/filberthollow/measure/packet_slopes.cc
+++ b/filberthollow/measure/packet_slopes.cc
@@ -1,8 +1,8 @@
 // Measurements of passthrough flows, whose packets are forwarded unchanged.
 #include <memory>
 
-#include "filberthollow/decision/flow_router.h"
-#include "filberthollow/decision/upstream_gate.h"
+#include "filberthollow/decision/flows/flow_router.h"
+#include "filberthollow/decision/flows/upstream_gate.h"
 #include "filberthollow/measure/fixtures.h"
 #include "filberthollow/measure/slopes.h"
 #include "filberthollow/testing/packet_fixtures.h"
@@ -35,15 +35,15 @@
 
 // Returns a router that has a report from each of `agents` agents. The first
 // seven serve the measured service, the others one service each.
-std::unique_ptr<decision::FlowRouter> MakeRouter(uint32_t agents) {
+std::unique_ptr<decision::flows::FlowRouter> MakeRouter(uint32_t agents) {
   constexpr uint32_t kServiceAgents = 7;
-  auto router = std::make_unique<decision::FlowRouter>(0, kNow);
+  auto router = std::make_unique<decision::flows::FlowRouter>(0, kNow);
   router->SetRoutes(testing::TwoRoutes(kRevision));
   for (uint32_t i = 0; i < agents; ++i) {
     base::ServiceId service =
         i < kServiceAgents ? testing::kDesk : base::ServiceId{i};
     router->OnReport({.service = service,
-                      .state = decision::UpstreamState::kReady,
+                      .state = decision::flows::UpstreamState::kReady,
                       .interval = Millis(200)},
                      AgentAddress(i), kNow);
   }
@@ -51,11 +51,11 @@
 }
 
 // Makes `router` know `flows` flows, all held by the first agent.
-void AddKnownFlows(decision::FlowRouter& router, uint32_t flows) {
-  decision::RouterActions actions;
+void AddKnownFlows(decision::flows::FlowRouter& router, uint32_t flows) {
+  decision::flows::RouterActions actions;
   for (uint32_t i = 0; i < flows; ++i) {
     router.OnAnswer({.flow = WithCaller(testing::Opening(), i).FromCaller(),
-                     .holding = decision::Holding::kHeld},
+                     .holding = decision::flows::Holding::kHeld},
                     {}, AgentAddress(0), kNow, actions);
     actions.clear();
   }
@@ -63,18 +63,19 @@
 
 // Returns a gate with `flows` open flows. Its connection limit is one above
 // that, so that none is refused.
-std::unique_ptr<decision::UpstreamGate> MakeGate(uint32_t flows) {
-  auto gate = std::make_unique<decision::UpstreamGate>(
-      decision::GateOptions{.service = testing::kDesk, .first_start = true},
+std::unique_ptr<decision::flows::UpstreamGate> MakeGate(uint32_t flows) {
+  auto gate = std::make_unique<decision::flows::UpstreamGate>(
+      decision::flows::GateOptions{.service = testing::kDesk,
+                                   .first_start = true},
       kNow);
   settings::Tree tree;
   tree.services["desk"].overrides.connections = flows + 1;
-  gate->SetRoutes(std::make_shared<const decision::RouteTable>(
+  gate->SetRoutes(std::make_shared<const decision::flows::RouteTable>(
       kRevision, tree,
       std::vector<settings::Route>{{.name = "desk",
                                     .address = testing::kDeskRoute,
                                     .shares = {{"desk", 1}}}}));
-  decision::GateActions actions;
+  decision::flows::GateActions actions;
   gate->OnHeartbeat(testing::MakeHeartbeat(1), kNow, actions);
   for (uint32_t i = 0; i < flows; ++i) {
     gate->OnForward({.revision = kRevision}, WithCaller(testing::Opening(), i),
@@ -126,13 +127,14 @@
     auto router = MakeRouter(1);
     AddKnownFlows(*router, size);
     size_t sum = 0;
-    decision::RouterActions actions;
+    decision::flows::RouterActions actions;
     double us = TimeCall(kTimedPackets, [&](uint32_t i) {
       router->OnCallerPacket(
           packet, WithCaller(testing::Data(1, 900), i % size), kNow, actions);
-      sum += wire::EncodePacketMessage(
-                 std::get<decision::SendForward>(actions.front()).message)
-                 .size();
+      sum +=
+          wire::EncodePacketMessage(
+              std::get<decision::flows::SendForward>(actions.front()).message)
+              .size();
       actions.clear();
     });
     series.points.push_back({static_cast<double>(size), sum == 0 ? 0 : us});
@@ -146,7 +148,7 @@
   for (uint32_t size : agents) {
     auto router = MakeRouter(size);
     size_t sum = 0;
-    decision::RouterActions actions;
+    decision::flows::RouterActions actions;
     double us = TimeCall(kTimedOffers, [&](uint32_t i) {
       router->OnCallerPacket("p", WithCaller(testing::Opening(), i), kNow,
                              actions);
@@ -164,12 +166,12 @@
   for (uint32_t size : flows) {
     auto gate = MakeGate(size);
     std::string datagram = wire::EncodePacketMessage(
-        decision::Forward{.revision = kRevision, .packet = packet});
+        decision::flows::Forward{.revision = kRevision, .packet = packet});
     size_t sum = 0;
-    decision::GateActions actions;
+    decision::flows::GateActions actions;
     double us = TimeCall(kTimedPackets, [&](uint32_t i) {
       auto message = wire::DecodePacketMessage(datagram);
-      gate->OnForward(std::get<decision::Forward>(*message),
+      gate->OnForward(std::get<decision::flows::Forward>(*message),
                       WithCaller(testing::Data(101, 0), i % size),
                       AgentAddress(0), kNow, actions);
       sum += actions.size();
@@ -183,7 +185,7 @@
 Series ReportBytes(const Sizes& loads) {
   return {"report_bytes", "load", "bytes",
           EncodedBytes(loads, [](uint32_t size) {
-            return decision::UpstreamReport{
+            return decision::flows::UpstreamReport{
                 .load = {.in_flight = static_cast<uint16_t>(size)}};
           })};
 }
@@ -191,7 +193,7 @@
 Series HelloBytes(const Sizes& balancers) {
   return {"hello_bytes", "balancers named", "bytes",
           EncodedBytes(balancers, [](uint32_t size) {
-            decision::BalancerHello hello;
+            decision::flows::BalancerHello hello;
             for (uint32_t i = 0; i < size; ++i) {
               hello.balancers.push_back(AgentAddress(i));
             }
@@ -202,7 +204,8 @@
 Series LocateBytes(const Sizes& flows) {
   return {"locate_bytes", "flows asked for", "bytes",
           EncodedBytes(flows, [](uint32_t size) {
-            return decision::Locate{std::vector<decision::FlowQuestion>(size)};
+            return decision::flows::Locate{
+                std::vector<decision::flows::FlowQuestion>(size)};
           })};
 }
 
--- a/filberthollow/measure/placement_slopes.cc
+++ b/filberthollow/measure/placement_slopes.cc
@@ -22,17 +22,18 @@
 // Returns the identifier of the candidate for the flow with hash `key`.
 using PlaceFlow = std::function<uint64_t(uint64_t key)>;
 
-PlaceFlow ByRendezvous(const std::vector<decision::Candidate>& candidates) {
+PlaceFlow ByRendezvous(
+    const std::vector<decision::flows::Candidate>& candidates) {
   return [&candidates](uint64_t key) {
     const auto& policy =
-        decision::PolicyFor(decision::PlacementKind::kRendezvous);
+        decision::flows::PolicyFor(decision::flows::PlacementKind::kRendezvous);
     return base::Value(policy.Place(key, candidates, {})->id);
   };
 }
 
-PlaceFlow ByMaglev(const std::vector<decision::Candidate>& candidates) {
-  auto table =
-      std::make_shared<decision::MaglevTable>(candidates, kMaglevTableSize);
+PlaceFlow ByMaglev(const std::vector<decision::flows::Candidate>& candidates) {
+  auto table = std::make_shared<decision::flows::MaglevTable>(candidates,
+                                                              kMaglevTableSize);
   return [&candidates, table](uint64_t key) {
     return base::Value(candidates[table->Lookup(key)].id);
   };
@@ -40,7 +41,7 @@
 
 // Builds a PlaceFlow for `candidates`, which must outlive it.
 using PlaceFlowFactory =
-    PlaceFlow (*)(const std::vector<decision::Candidate>& candidates);
+    PlaceFlow (*)(const std::vector<decision::flows::Candidate>& candidates);
 
 // Measures the share of flows that are placed elsewhere after the last
 // candidate has been removed.
@@ -139,7 +140,7 @@
   for (uint32_t size : targets) {
     auto candidates = MakeCandidates(size);
     const auto& policy =
-        decision::PolicyFor(decision::PlacementKind::kRendezvous);
+        decision::flows::PolicyFor(decision::flows::PlacementKind::kRendezvous);
     uint64_t sum = 0;
     double us = TimeCall(20'000'000 / (size * 20 + 100), [&](uint32_t i) {
       sum +=
@@ -157,7 +158,7 @@
     auto candidates = MakeCandidates(size);
     uint64_t sum = 0;
     double us = TimeCall(5, [&](uint32_t i) {
-      sum += decision::MaglevTable(candidates, kTableSize).Lookup(i);
+      sum += decision::flows::MaglevTable(candidates, kTableSize).Lookup(i);
     });
     series.points.push_back({static_cast<double>(size), sum == ~0ULL ? 0 : us});
   }
--- a/filberthollow/measure/slopes.cc
+++ b/filberthollow/measure/slopes.cc
@@ -2,9 +2,9 @@
 
 #include <memory>
 
-#include "filberthollow/decision/gossip.h"
-#include "filberthollow/decision/target_flows.h"
-#include "filberthollow/decision/view_builder.h"
+#include "filberthollow/decision/flows/target_flows.h"
+#include "filberthollow/decision/flows/view_builder.h"
+#include "filberthollow/decision/membership/gossip.h"
 #include "filberthollow/measure/fixtures.h"
 #include "filberthollow/settings/tree_json.h"
 #include "filberthollow/wire/control_codec.h"
@@ -22,10 +22,10 @@
 namespace {
 
 using base::Millis;
-using decision::MemberRecord;
+using decision::membership::MemberRecord;
 
-decision::Directory MakeDirectory(uint32_t records) {
-  decision::Directory directory;
+decision::membership::Directory MakeDirectory(uint32_t records) {
+  decision::membership::Directory directory;
   for (uint32_t i = 0; i < records; ++i) {
     directory.Merge(TargetRecord(i));
   }
@@ -45,16 +45,16 @@
   return tree;
 }
 
-std::unique_ptr<decision::TargetFlows> MakeFlows(uint32_t count) {
-  decision::TargetIdentity identity{.service = base::ServiceId{1},
-                                    .target = base::TargetId{2},
-                                    .incarnation = base::Incarnation{3},
-                                    .agent = {1, 1}};
-  decision::TargetLimits limits{.connections = count,
-                                .flows_per_caller = count};
+std::unique_ptr<decision::flows::TargetFlows> MakeFlows(uint32_t count) {
+  decision::flows::TargetIdentity identity{.service = base::ServiceId{1},
+                                           .target = base::TargetId{2},
+                                           .incarnation = base::Incarnation{3},
+                                           .agent = {1, 1}};
+  decision::flows::TargetLimits limits{.connections = count,
+                                       .flows_per_caller = count};
   auto flows =
-      std::make_unique<decision::TargetFlows>(identity, limits, Keys());
-  flows->SetReadiness(decision::Readiness::kReady);
+      std::make_unique<decision::flows::TargetFlows>(identity, limits, Keys());
+  flows->SetReadiness(decision::flows::Readiness::kReady);
   for (uint32_t i = 0; i < count; ++i) {
     base::Address caller{0x0b000000 + i, 4000};
     flow::Open open{.service = identity.service, .nonce = i + 1};
@@ -70,7 +70,7 @@
                           .path = "/sheet"};
     flows->OnMessage({caller, token.flow, request}, {caller, {}}, Millis(0));
     flows->OnResult({{token.flow, request.seq},
-                     decision::UpstreamResult::kAnswered,
+                     decision::flows::UpstreamResult::kAnswered,
                      200,
                      std::string(200, 'x')},
                     Millis(1));
@@ -96,7 +96,8 @@
 Series ViewMemory(const Sizes& targets) {
   return {"view_memory", "targets", "bytes",
           HeapPoints(targets, [](uint32_t size) {
-            return decision::BuildView(MakeDirectory(size), MakeTree(size), {});
+            return decision::flows::BuildView(MakeDirectory(size),
+                                              MakeTree(size), {});
           })};
 }
 
@@ -154,11 +155,11 @@
 Series ViewBuildTime(const Sizes& targets) {
   Series series{"view_build_time", "targets", "us", {}};
   for (uint32_t size : targets) {
-    decision::Directory directory = MakeDirectory(size);
+    decision::membership::Directory directory = MakeDirectory(size);
     settings::Tree tree = MakeTree(size);
     size_t sum = 0;
     double us = TimeCall(20, [&](uint32_t /*i*/) {
-      sum += decision::BuildView(directory, tree, {}).services.size();
+      sum += decision::flows::BuildView(directory, tree, {}).services.size();
     });
     series.points.push_back({static_cast<double>(size), sum == 0 ? 0 : us});
   }
@@ -168,9 +169,9 @@
 Series RouteTime(const Sizes& targets) {
   Series series{"route_time", "targets", "us", {}};
   for (uint32_t size : targets) {
-    decision::Router router(Keys());
+    decision::flows::Router router(Keys());
     router.SetView(
-        decision::BuildView(MakeDirectory(size), MakeTree(size), {}));
+        decision::flows::BuildView(MakeDirectory(size), MakeTree(size), {}));
     base::Address caller{1, 2};
     flow::FlowToken token =
         Keys().Sign({.service = base::ServiceIdOf(ServiceName(0)),
@@ -184,7 +185,7 @@
     double us = TimeCall(100'000, [&](uint32_t i) {
       auto up = wire::DecodeUp(datagram);
       auto route = router.RouteMessage(*up, caller, Millis(i));
-      const auto& forward = std::get<decision::ForwardToAgent>(route);
+      const auto& forward = std::get<decision::flows::ForwardToAgent>(route);
       sum += wire::EncodeRelayedUp({caller, forward.flow, *up}, Keys()).size();
     });
     series.points.push_back({static_cast<double>(size), sum == 0 ? 0 : us});
@@ -195,11 +196,11 @@
 Series HeartbeatTime(const Sizes& targets) {
   Series series{"heartbeat_time", "targets", "us", {}};
   for (uint32_t size : targets) {
-    MemberRecord self{.id = decision::MemberId{1},
-                      .kind = decision::MemberKind::kBalancer,
+    MemberRecord self{.id = decision::membership::MemberId{1},
+                      .kind = decision::membership::MemberKind::kBalancer,
                       .address = {1, 1}};
-    decision::Gossip gossip(self, kSeed);
-    decision::Observer observer(self.id);
+    decision::membership::Gossip gossip(self, kSeed);
+    decision::membership::Observer observer(self.id);
     for (uint32_t i = 0; i < size; ++i) {
       gossip.LearnWithoutSpreading(TargetRecord(i));
     }
@@ -224,27 +225,28 @@
 Series GossipMessageTime(const Sizes& targets) {
   Series series{"gossip_message_time", "targets", "us", {}};
   for (uint32_t size : targets) {
-    MemberRecord self{.id = decision::MemberId{1},
-                      .kind = decision::MemberKind::kBalancer,
+    MemberRecord self{.id = decision::membership::MemberId{1},
+                      .kind = decision::membership::MemberKind::kBalancer,
                       .address = {1, 1}};
-    decision::Gossip gossip(self, kSeed);
+    decision::membership::Gossip gossip(self, kSeed);
     for (uint32_t i = 0; i < size; ++i) {
       gossip.LearnWithoutSpreading(TargetRecord(i));
     }
     MemberRecord peer = self;
-    peer.id = decision::MemberId{2};
+    peer.id = decision::membership::MemberId{2};
     peer.address = {2, 2};
-    decision::GossipMessage message{.sender = peer};
-    for (uint32_t i = 0; i < decision::Gossip::kMaxRecords; ++i) {
+    decision::membership::GossipMessage message{.sender = peer};
+    for (uint32_t i = 0; i < decision::membership::Gossip::kMaxRecords; ++i) {
       message.records.push_back(TargetRecord(i));
     }
-    message.group_digests = decision::GroupDigests{};
+    message.group_digests = decision::membership::GroupDigests{};
     std::string datagram = wire::EncodeControl(message, Keys());
     size_t sum = 0;
     double us = TimeCall(20'000, [&](uint32_t /*i*/) {
       auto received = wire::DecodeControl(datagram, Keys());
-      for (const decision::GossipSend& send : gossip.OnMessage(
-               std::get<decision::GossipMessage>(*received), peer.address)) {
+      for (const decision::membership::GossipSend& send : gossip.OnMessage(
+               std::get<decision::membership::GossipMessage>(*received),
+               peer.address)) {
         sum += wire::EncodeControl(send.message, Keys()).size();
       }
     });
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -13,7 +13,7 @@
 namespace {
 
 using base::Level;
-using decision::UpstreamState;
+using decision::flows::UpstreamState;
 
 constexpr std::array<std::string_view, 4> kStateNames{"unknown", "ready",
                                                       "draining", "gone"};
@@ -22,7 +22,8 @@
   return kStateNames.at(static_cast<size_t>(state));
 }
 
-decision::GateOptions GateOptionsFrom(const NodeSettings& settings) {
+decision::flows::GateOptions GateOptionsFrom(
+    const settings::NodeSettings& settings) {
   return {.service = base::ServiceIdOf(settings.service),
           .data_centre = base::HashBytes(settings.data_centre),
           .first_start = settings.first_start,
@@ -34,8 +35,8 @@
 
 AgentTask::AgentTask(const base::Clock& clock,
                      kernel::Registry& registry,
-                     const NodeSettings& settings,
-                     const Adapter& adapter,
+                     const settings::NodeSettings& settings,
+                     const config::Adapter& adapter,
                      AgentSockets sockets)
     : PacketsTask(clock, registry, settings, adapter, std::move(sockets.peers)),
       m_upstream(settings.upstream),
@@ -138,7 +139,7 @@
              message);
 }
 
-void AgentTask::HandlePeerMessage(const decision::Forward& m,
+void AgentTask::HandlePeerMessage(const decision::flows::Forward& m,
                                   base::Address from) {
   if (auto header = ReadHeader(m.packet)) {
     RecordPacketArrival();
@@ -147,29 +148,29 @@
   }
 }
 
-void AgentTask::HandlePeerMessage(const decision::Locate& m,
+void AgentTask::HandlePeerMessage(const decision::flows::Locate& m,
                                   base::Address from) {
   m_metrics.Add("locates_heard");
   m_gate.OnLocate(m, from, Now(), m_actions);
   ApplyActions();
 }
 
-void AgentTask::HandlePeerMessage(const decision::Located& /*m*/,
+void AgentTask::HandlePeerMessage(const decision::flows::Located& /*m*/,
                                   base::Address /*from*/) {
   m_metrics.Count(flow::Reason::kMalformed);  // sent to balancers only
 }
 
-void AgentTask::HandlePeerMessage(const decision::FlowAnswer& /*m*/,
+void AgentTask::HandlePeerMessage(const decision::flows::FlowAnswer& /*m*/,
                                   base::Address /*from*/) {
   m_metrics.Count(flow::Reason::kMalformed);  // sent to balancers only
 }
 
-void AgentTask::HandlePeerMessage(const decision::UpstreamReport& /*m*/,
+void AgentTask::HandlePeerMessage(const decision::flows::UpstreamReport& /*m*/,
                                   base::Address /*from*/) {
   m_metrics.Count(flow::Reason::kMalformed);  // sent to balancers only
 }
 
-void AgentTask::HandlePeerMessage(const decision::BalancerHello& m,
+void AgentTask::HandlePeerMessage(const decision::flows::BalancerHello& m,
                                   base::Address from) {
   NotifyIfNewerRevision(m.revision, m_gate.revision(), from);
   if (m_balancers.OnHello(from, m.run, m.leaving, Now())) {
@@ -184,31 +185,31 @@
 
 void AgentTask::ApplyActions() {
   // Apply() must not add to m_actions, which would invalidate the iterators.
-  for (const decision::GateAction& action : m_actions) {
+  for (const decision::flows::GateAction& action : m_actions) {
     std::visit([this](const auto& a) { Apply(a); }, action);
   }
   m_actions.clear();
   ArmTick();
 }
 
-void AgentTask::Apply(const decision::DeliverToUpstream& action) {
+void AgentTask::Apply(const decision::flows::DeliverToUpstream& action) {
   m_metrics.Add("packets_to_upstream");
   if (!m_outbound->Send(action.packet, m_upstream)) {
     m_metrics.Count(flow::Reason::kSendFailed);
   }
 }
 
-void AgentTask::Apply(const decision::DeliverToCaller& action) {
+void AgentTask::Apply(const decision::flows::DeliverToCaller& action) {
   m_metrics.Add("packets_to_callers");
   SendToCaller(*m_outbound, action.packet, action.caller);
 }
 
-void AgentTask::Apply(const decision::ResetCaller& action) {
+void AgentTask::Apply(const decision::flows::ResetCaller& action) {
   SendReset(*m_outbound, action, m_gate.revision());
 }
 
-void AgentTask::Apply(const decision::AnswerBalancer& action) {
-  if (action.answer.holding == decision::Holding::kRefused) {
+void AgentTask::Apply(const decision::flows::AnswerBalancer& action) {
+  if (action.answer.holding == decision::flows::Holding::kRefused) {
     m_metrics.Count(action.answer.reason);
   } else if (!action.answer.packet.empty()) {
     m_metrics.Add("packets_stray");
@@ -216,20 +217,20 @@
   SendToPeer(action.answer, action.balancer);
 }
 
-void AgentTask::Apply(const decision::AnswerLocate& action) {
+void AgentTask::Apply(const decision::flows::AnswerLocate& action) {
   SendToPeer(action.answer, action.balancer);
 }
 
-void AgentTask::Apply(const decision::CheckUpstream& /*action*/) {
+void AgentTask::Apply(const decision::flows::CheckUpstream& /*action*/) {
   m_metrics.Add("health_checks");
   Post(kControlService, ControlMessage(CheckHealth{}));
 }
 
-void AgentTask::Apply(const decision::ReportNow& /*action*/) {
+void AgentTask::Apply(const decision::flows::ReportNow& /*action*/) {
   ReportToLiveBalancers();
 }
 
-void AgentTask::Apply(const decision::OfferDecided& note) {
+void AgentTask::Apply(const decision::flows::OfferDecided& note) {
   std::string reason =
       note.accepted ? "" : std::string(flow::ReasonName(note.reason));
   if (note.accepted) {
@@ -248,7 +249,7 @@
              {"revision", m_gate.revision()}});
 }
 
-void AgentTask::Apply(const decision::RequestWaited& note) {
+void AgentTask::Apply(const decision::flows::RequestWaited& note) {
   m_metrics.Record("request_wait_ms", note.waited);
   base::Log(Level::kInfo, "request_waited",
             {{"flow", note.flow.Text()},
@@ -256,11 +257,11 @@
              {"still_waiting", note.still_waiting}});
 }
 
-void AgentTask::Apply(const decision::RequestAnswered& note) {
+void AgentTask::Apply(const decision::flows::RequestAnswered& note) {
   m_metrics.Record("request_ms", note.took);
 }
 
-void AgentTask::Apply(const decision::UpstreamReset& note) {
+void AgentTask::Apply(const decision::flows::UpstreamReset& note) {
   m_metrics.Add("upstream_resets");
   base::Log(Level::kWarning, "upstream_reset",
             {{"flow", note.flow.Text()},
@@ -270,7 +271,7 @@
              {"revision", m_gate.revision()}});
 }
 
-void AgentTask::Apply(const decision::UpstreamSilence& note) {
+void AgentTask::Apply(const decision::flows::UpstreamSilence& note) {
   m_metrics.Add(note.silent ? "upstream_lost" : "upstream_regained");
   base::Log(Level::kWarning, note.silent ? "upstream_silent" : "upstream_heard",
             {{"heard_ago_ms", note.heard_ago},
@@ -289,7 +290,7 @@
 }
 
 void AgentTask::StopIfDoneLeaving() {
-  decision::UpstreamReport report = m_gate.Report(Now());
+  decision::flows::UpstreamReport report = m_gate.Report(Now());
   if (report.state == UpstreamState::kGone) {
     StopIfQuiet(kLeaveQuietTime, base::Millis(0));
   } else if (report.leaving) {
@@ -318,7 +319,7 @@
 }
 
 void AgentTask::SendReports(const std::vector<base::Address>& balancers) {
-  decision::UpstreamReport report = m_gate.Report(Now());
+  decision::flows::UpstreamReport report = m_gate.Report(Now());
   report.interval = ReportInterval();
   for (base::Address balancer : balancers) {
     SendToPeer(report, balancer);
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "filberthollow/decision/upstream_gate.h"
+#include "filberthollow/decision/flows/upstream_gate.h"
 #include "filberthollow/passthrough/packets_task.h"
 
 namespace filberthollow::passthrough {
@@ -48,8 +48,8 @@
 
   AgentTask(const base::Clock& clock,
             kernel::Registry& registry,
-            const NodeSettings& settings,
-            const Adapter& adapter,
+            const settings::NodeSettings& settings,
+            const config::Adapter& adapter,
             AgentSockets sockets);
 
  protected:
@@ -71,28 +71,31 @@
   void Handle(const admin::ReportQuery& m);
 
   void OnUpstreamDatagram(std::string_view bytes, base::Address from);
-  void HandlePeerMessage(const decision::Forward& m, base::Address from);
-  void HandlePeerMessage(const decision::Locate& m, base::Address from);
-  void HandlePeerMessage(const decision::Located& m, base::Address from);
-  void HandlePeerMessage(const decision::FlowAnswer& m, base::Address from);
-  void HandlePeerMessage(const decision::UpstreamReport& m, base::Address from);
-  void HandlePeerMessage(const decision::BalancerHello& m, base::Address from);
+  void HandlePeerMessage(const decision::flows::Forward& m, base::Address from);
+  void HandlePeerMessage(const decision::flows::Locate& m, base::Address from);
+  void HandlePeerMessage(const decision::flows::Located& m, base::Address from);
+  void HandlePeerMessage(const decision::flows::FlowAnswer& m,
+                         base::Address from);
+  void HandlePeerMessage(const decision::flows::UpstreamReport& m,
+                         base::Address from);
+  void HandlePeerMessage(const decision::flows::BalancerHello& m,
+                         base::Address from);
 
   // Carries out the gate's decisions in `m_actions` and clears the list. An
   // Apply() overload with a `note` only logs and counts a decision.
   void ApplyActions();
-  void Apply(const decision::DeliverToUpstream& action);
-  void Apply(const decision::DeliverToCaller& action);
-  void Apply(const decision::ResetCaller& action);
-  void Apply(const decision::AnswerBalancer& action);
-  void Apply(const decision::AnswerLocate& action);
-  void Apply(const decision::CheckUpstream& action);
-  void Apply(const decision::ReportNow& action);
-  void Apply(const decision::OfferDecided& note);
-  void Apply(const decision::RequestWaited& note);
-  void Apply(const decision::RequestAnswered& note);
-  void Apply(const decision::UpstreamReset& note);
-  void Apply(const decision::UpstreamSilence& note);
+  void Apply(const decision::flows::DeliverToUpstream& action);
+  void Apply(const decision::flows::DeliverToCaller& action);
+  void Apply(const decision::flows::ResetCaller& action);
+  void Apply(const decision::flows::AnswerBalancer& action);
+  void Apply(const decision::flows::AnswerLocate& action);
+  void Apply(const decision::flows::CheckUpstream& action);
+  void Apply(const decision::flows::ReportNow& action);
+  void Apply(const decision::flows::OfferDecided& note);
+  void Apply(const decision::flows::RequestWaited& note);
+  void Apply(const decision::flows::RequestAnswered& note);
+  void Apply(const decision::flows::UpstreamReset& note);
+  void Apply(const decision::flows::UpstreamSilence& note);
   // Stops the process if this agent is leaving and either its upstream has
   // ended or the leave time of a running upstream is over.
   void StopIfDoneLeaving();
@@ -113,8 +116,8 @@
 
   const base::Address m_upstream;
   std::shared_ptr<net::UdpSocket> m_outbound;
-  decision::UpstreamGate m_gate;
-  decision::GateActions m_actions;
+  decision::flows::UpstreamGate m_gate;
+  decision::flows::GateActions m_actions;
   base::Millis m_discovery_interval = kFirstDiscoveryInterval;
 };
 
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -14,8 +14,8 @@
 
 BalancerTask::BalancerTask(const base::Clock& clock,
                            kernel::Registry& registry,
-                           const NodeSettings& settings,
-                           const Adapter& adapter,
+                           const settings::NodeSettings& settings,
+                           const config::Adapter& adapter,
                            BalancerSockets sockets)
     : PacketsTask(clock, registry, settings, adapter, std::move(sockets.peers)),
       m_callers(std::move(sockets.callers)),
@@ -77,23 +77,23 @@
              message);
 }
 
-void BalancerTask::HandlePeerMessage(const decision::Forward& /*m*/,
+void BalancerTask::HandlePeerMessage(const decision::flows::Forward& /*m*/,
                                      base::Address /*from*/) {
   m_metrics.Count(flow::Reason::kMalformed);  // sent to agents only
 }
 
-void BalancerTask::HandlePeerMessage(const decision::Locate& /*m*/,
+void BalancerTask::HandlePeerMessage(const decision::flows::Locate& /*m*/,
                                      base::Address /*from*/) {
   m_metrics.Count(flow::Reason::kMalformed);  // sent to agents only
 }
 
-void BalancerTask::HandlePeerMessage(const decision::Located& m,
+void BalancerTask::HandlePeerMessage(const decision::flows::Located& m,
                                      base::Address from) {
   m_router.OnLocated(m, from, Now(), m_actions);
   ApplyActions();
 }
 
-void BalancerTask::HandlePeerMessage(const decision::FlowAnswer& m,
+void BalancerTask::HandlePeerMessage(const decision::flows::FlowAnswer& m,
                                      base::Address from) {
   flow::PacketHeader header;
   if (!m.packet.empty()) {
@@ -103,7 +103,7 @@
     }
     header = *read;
   }
-  if (m.holding == decision::Holding::kRefused) {
+  if (m.holding == decision::flows::Holding::kRefused) {
     m_metrics.Count(m.reason);
     base::Log(Level::kWarning, "offer_refused",
               {{"flow", m.flow.Text()},
@@ -114,7 +114,7 @@
   ApplyActions();
 }
 
-void BalancerTask::HandlePeerMessage(const decision::UpstreamReport& m,
+void BalancerTask::HandlePeerMessage(const decision::flows::UpstreamReport& m,
                                      base::Address from) {
   m_router.OnReport(m, from, Now());
   NotifyIfNewerRevision(m.revision, m_router.revision(), from);
@@ -127,7 +127,7 @@
   CheckReadiness();
 }
 
-void BalancerTask::HandlePeerMessage(const decision::BalancerHello& m,
+void BalancerTask::HandlePeerMessage(const decision::flows::BalancerHello& m,
                                      base::Address from) {
   NotifyIfNewerRevision(m.revision, m_router.revision(), from);
   if (m_balancers.OnHello(from, m.run, m.leaving, Now())) {
@@ -138,31 +138,31 @@
 }
 
 void BalancerTask::ApplyActions() {
-  for (const decision::RouterAction& action : m_actions) {
+  for (const decision::flows::RouterAction& action : m_actions) {
     std::visit([this](const auto& a) { Apply(a); }, action);
   }
   m_actions.clear();
   ArmTick();
 }
 
-void BalancerTask::Apply(const decision::SendForward& action) {
+void BalancerTask::Apply(const decision::flows::SendForward& action) {
   SendToPeer(action.message, action.agent);
 }
 
-void BalancerTask::Apply(const decision::SendLocate& action) {
+void BalancerTask::Apply(const decision::flows::SendLocate& action) {
   m_metrics.Add("locates_sent");
   SendToPeer(action.message, action.agent);
 }
 
-void BalancerTask::Apply(const decision::ResetCaller& action) {
+void BalancerTask::Apply(const decision::flows::ResetCaller& action) {
   SendReset(*m_callers, action, m_router.revision());
 }
 
-void BalancerTask::Apply(const decision::DropPacket& action) {
+void BalancerTask::Apply(const decision::flows::DropPacket& action) {
   m_metrics.Count(action.reason);
 }
 
-void BalancerTask::Apply(const decision::OfferMade& note) {
+void BalancerTask::Apply(const decision::flows::OfferMade& note) {
   m_metrics.Add(note.tries > 1 ? "offers_repeated" : "offers_first");
   base::Log(note.tries > 1 ? Level::kWarning : Level::kInfo, "flow_offered",
             {{"flow", note.flow.Text()},
@@ -177,11 +177,11 @@
              {"revision", m_router.revision()}});
 }
 
-void BalancerTask::Apply(const decision::OfferAccepted& note) {
+void BalancerTask::Apply(const decision::flows::OfferAccepted& note) {
   m_metrics.Record("offer_ms", note.took);
 }
 
-void BalancerTask::Apply(const decision::FlowFound& note) {
+void BalancerTask::Apply(const decision::flows::FlowFound& note) {
   m_metrics.Add("flows_found");
   m_metrics.Record("search_ms", note.took);
   base::Log(Level::kInfo, "flow_found",
@@ -191,7 +191,7 @@
              {"took_ms", note.took}});
 }
 
-void BalancerTask::Apply(const decision::AgentSilence& note) {
+void BalancerTask::Apply(const decision::flows::AgentSilence& note) {
   m_metrics.Add(note.silent ? "agents_lost" : "agents_regained");
   base::Log(Level::kWarning, note.silent ? "agent_silent" : "agent_heard",
             {{"agent", note.agent.Text()},
@@ -226,7 +226,7 @@
   m_balancers.Forget(Now());
   m_balancers.AdvanceAdvertised(Now());
   std::erase_if(m_agent_hello_at, [this](const auto& entry) {
-    return Now() - entry.second > decision::FlowRouter::kAgentExpiry;
+    return Now() - entry.second > decision::flows::FlowRouter::kAgentExpiry;
   });
   SendHelloToBalancers();
 }
@@ -241,12 +241,13 @@
 }
 
 void BalancerTask::SendHello(base::Address to, base::Address newcomer) {
-  SendToPeer(decision::BalancerHello{.revision = m_router.revision(),
+  SendToPeer(
+      decision::flows::BalancerHello{.revision = m_router.revision(),
                                      .run = m_run,
                                      .leaving = leaving(),
                                      .balancers = m_balancers.Advertised(Now()),
                                      .newcomer = newcomer},
-             to);
+      to);
 }
 
 void BalancerTask::AnnounceLeaving() {
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -10,7 +10,7 @@
 #include <random>
 #include <string_view>
 
-#include "filberthollow/decision/flow_router.h"
+#include "filberthollow/decision/flows/flow_router.h"
 #include "filberthollow/passthrough/packets_task.h"
 
 namespace filberthollow::passthrough {
@@ -39,8 +39,8 @@
 
   BalancerTask(const base::Clock& clock,
                kernel::Registry& registry,
-               const NodeSettings& settings,
-               const Adapter& adapter,
+               const settings::NodeSettings& settings,
+               const config::Adapter& adapter,
                BalancerSockets sockets);
 
  protected:
@@ -60,24 +60,27 @@
   void Handle(const admin::ReportQuery& m);
 
   void OnCallerDatagram(std::string_view bytes);
-  void HandlePeerMessage(const decision::Forward& m, base::Address from);
-  void HandlePeerMessage(const decision::Locate& m, base::Address from);
-  void HandlePeerMessage(const decision::Located& m, base::Address from);
-  void HandlePeerMessage(const decision::FlowAnswer& m, base::Address from);
-  void HandlePeerMessage(const decision::UpstreamReport& m, base::Address from);
-  void HandlePeerMessage(const decision::BalancerHello& m, base::Address from);
+  void HandlePeerMessage(const decision::flows::Forward& m, base::Address from);
+  void HandlePeerMessage(const decision::flows::Locate& m, base::Address from);
+  void HandlePeerMessage(const decision::flows::Located& m, base::Address from);
+  void HandlePeerMessage(const decision::flows::FlowAnswer& m,
+                         base::Address from);
+  void HandlePeerMessage(const decision::flows::UpstreamReport& m,
+                         base::Address from);
+  void HandlePeerMessage(const decision::flows::BalancerHello& m,
+                         base::Address from);
 
   // Carries out the router's decisions in `m_actions` and clears the list. An
   // Apply() overload with a `note` only logs and counts a decision.
   void ApplyActions();
-  void Apply(const decision::SendForward& action);
-  void Apply(const decision::SendLocate& action);
-  void Apply(const decision::ResetCaller& action);
-  void Apply(const decision::DropPacket& action);
-  void Apply(const decision::OfferMade& note);
-  void Apply(const decision::OfferAccepted& note);
-  void Apply(const decision::FlowFound& note);
-  void Apply(const decision::AgentSilence& note);
+  void Apply(const decision::flows::SendForward& action);
+  void Apply(const decision::flows::SendLocate& action);
+  void Apply(const decision::flows::ResetCaller& action);
+  void Apply(const decision::flows::DropPacket& action);
+  void Apply(const decision::flows::OfferMade& note);
+  void Apply(const decision::flows::OfferAccepted& note);
+  void Apply(const decision::flows::FlowFound& note);
+  void Apply(const decision::flows::AgentSilence& note);
   // Sends a hello to every known balancer and schedules the next one. Also
   // drops peers that have been silent for too long.
   void OnHelloTimer();
@@ -97,8 +100,8 @@
   void CheckReadiness();
 
   std::shared_ptr<net::UdpSocket> m_callers;
-  decision::FlowRouter m_router;
-  decision::RouterActions m_actions;
+  decision::flows::FlowRouter m_router;
+  decision::flows::RouterActions m_actions;
   // When each agent was last sent a hello in answer to its report.
   std::map<base::Address, base::Millis> m_agent_hello_at;
   // Random number by which peers recognize a restart of this balancer.
--- a/filberthollow/passthrough/control_task.cc
+++ b/filberthollow/passthrough/control_task.cc
@@ -15,8 +15,8 @@
 
 ControlTask::ControlTask(const base::Clock& clock,
                          kernel::Registry& registry,
-                         const NodeSettings& settings,
-                         const Adapter& adapter)
+                         const settings::NodeSettings& settings,
+                         const config::Adapter& adapter)
     : LoopTask(clock, registry, kControlService),
       m_settings(settings),
       m_adapter(adapter),
--- a/filberthollow/passthrough/control_task.h
+++ b/filberthollow/passthrough/control_task.h
@@ -11,12 +11,12 @@
 #include <memory>
 #include <string>
 
+#include "filberthollow/config/adapter.h"
 #include "filberthollow/net/http_client.h"
 #include "filberthollow/net/http_server.h"
 #include "filberthollow/net/loop_task.h"
-#include "filberthollow/passthrough/adapter.h"
 #include "filberthollow/passthrough/messages.h"
-#include "filberthollow/passthrough/node_file.h"
+#include "filberthollow/settings/node_settings.h"
 
 namespace filberthollow::passthrough {
 
@@ -30,8 +30,8 @@
 
   ControlTask(const base::Clock& clock,
               kernel::Registry& registry,
-              const NodeSettings& settings,
-              const Adapter& adapter);
+              const settings::NodeSettings& settings,
+              const config::Adapter& adapter);
 
   // Opens the HTTP ports. Must be called before the kernel starts. Fails with
   // the error of the first port that cannot be opened.
@@ -63,8 +63,8 @@
   void OnPeerRequest(const net::HttpServerRequest& request,
                      const ResponderPtr& responder);
 
-  const NodeSettings m_settings;
-  const Adapter m_adapter;
+  const settings::NodeSettings m_settings;
+  const config::Adapter m_adapter;
   net::HttpServer m_readiness_server;
   net::HttpServer m_heartbeat_server;
   net::HttpServer m_peer_server;
--- a/filberthollow/passthrough/messages.h
+++ b/filberthollow/passthrough/messages.h
@@ -9,8 +9,8 @@
 
 #include "filberthollow/admin/report.h"
 #include "filberthollow/base/address.h"
-#include "filberthollow/decision/packet_messages.h"
-#include "filberthollow/decision/route_table.h"
+#include "filberthollow/decision/flows/packet_messages.h"
+#include "filberthollow/decision/flows/route_table.h"
 #include "filberthollow/platform/object_store.h"
 
 namespace filberthollow::passthrough {
@@ -23,7 +23,7 @@
 
 // Carries the routes that are now in force.
 struct RoutesChanged {
-  std::shared_ptr<const decision::RouteTable> routes;
+  std::shared_ptr<const decision::flows::RouteTable> routes;
   friend bool operator==(const RoutesChanged&, const RoutesChanged&) = default;
 };
 
@@ -36,7 +36,7 @@
 
 // Carries a heartbeat from the upstream.
 struct HeartbeatReceived {
-  decision::UpstreamHeartbeat heartbeat;
+  decision::flows::UpstreamHeartbeat heartbeat;
   friend bool operator==(const HeartbeatReceived&,
                          const HeartbeatReceived&) = default;
 };
--- a/filberthollow/passthrough/node_process.cc
+++ b/filberthollow/passthrough/node_process.cc
@@ -28,11 +28,12 @@
   return {.on_keys = [](const flow::KeyRing& /*keys*/) {},
           .on_snapshot =
               [&registry, service](const config::ConfigSnapshotPtr& snapshot) {
-                registry.Post(kPacketsService,
-                              PacketsMessage(RoutesChanged{
-                                  std::make_shared<const decision::RouteTable>(
-                                      snapshot->revision, snapshot->tree,
-                                      snapshot->routes)}));
+                registry.Post(
+                    kPacketsService,
+                    PacketsMessage(RoutesChanged{
+                        std::make_shared<const decision::flows::RouteTable>(
+                            snapshot->revision, snapshot->tree,
+                            snapshot->routes)}));
                 auto health = snapshot->health_paths.find(service);
                 if (health != snapshot->health_paths.end()) {
                   registry.Post(
@@ -59,9 +60,9 @@
 
 // Blocks until a stop signal, checking the settings at each
 // SettingsWatch::kInterval and on reload. Returns the settings at that time.
-NodeSettings WaitForStop(kernel::Registry& registry,
-                         const Adapter& adapter,
-                         const NodeSettings& settings) {
+settings::NodeSettings WaitForStop(kernel::Registry& registry,
+                                   const config::Adapter& adapter,
+                                   const settings::NodeSettings& settings) {
   SettingsWatch watch(registry, adapter, settings);
   kernel::Wakeup wakeup = kernel::Wakeup::kTimeout;
   while (wakeup == kernel::Wakeup::kTimeout ||
@@ -78,8 +79,8 @@
 // period is nearly over. Returns the exit code.
 int RunServices(kernel::Kernel& kernel,
                 const base::Clock& clock,
-                const NodeSettings& settings,
-                const Adapter& adapter,
+                const settings::NodeSettings& settings,
+                const config::Adapter& adapter,
                 config::FleetConfigOptions options) {
   kernel::Registry& registry = kernel.registry();
   auto control =
@@ -124,7 +125,8 @@
 
 }  // namespace
 
-int RunBalancer(const NodeSettings& settings, const Adapter& adapter) {
+int RunBalancer(const settings::NodeSettings& settings,
+                const config::Adapter& adapter) {
   auto callers = net::UdpSocket::Bind(settings.callers);
   auto peers = net::UdpSocket::Bind(settings.peers);
   for (const auto* socket : {&callers, &peers}) {
@@ -151,7 +153,8 @@
                       .seed = std::random_device{}()});
 }
 
-int RunAgent(const NodeSettings& settings, const Adapter& adapter) {
+int RunAgent(const settings::NodeSettings& settings,
+             const config::Adapter& adapter) {
   auto outbound = net::UdpSocket::Bind(settings.outbound);
   auto peers = net::UdpSocket::Bind(settings.peers);
   for (const auto* socket : {&outbound, &peers}) {
--- a/filberthollow/passthrough/node_process.h
+++ b/filberthollow/passthrough/node_process.h
@@ -3,16 +3,18 @@
 #ifndef FILBERTHOLLOW_PASSTHROUGH_NODE_PROCESS_H_
 #define FILBERTHOLLOW_PASSTHROUGH_NODE_PROCESS_H_
 
-#include "filberthollow/passthrough/adapter.h"
-#include "filberthollow/passthrough/node_file.h"
+#include "filberthollow/config/adapter.h"
+#include "filberthollow/settings/node_settings.h"
 
 namespace filberthollow::passthrough {
 
 // Each function runs a process until it has shut down after a stop signal, or
 // fails because an address cannot be bound. Returns the exit code. Must be
 // called on the main thread, with signals blocked by kernel::BlockSignals().
-int RunBalancer(const NodeSettings& settings, const Adapter& adapter);
-int RunAgent(const NodeSettings& settings, const Adapter& adapter);
+int RunBalancer(const settings::NodeSettings& settings,
+                const config::Adapter& adapter);
+int RunAgent(const settings::NodeSettings& settings,
+             const config::Adapter& adapter);
 
 }  // namespace filberthollow::passthrough
 
--- a/filberthollow/passthrough/packets_task.cc
+++ b/filberthollow/passthrough/packets_task.cc
@@ -18,8 +18,8 @@
 
 PacketsTask::PacketsTask(const base::Clock& clock,
                          kernel::Registry& registry,
-                         const NodeSettings& settings,
-                         const Adapter& adapter,
+                         const settings::NodeSettings& settings,
+                         const config::Adapter& adapter,
                          std::shared_ptr<net::UdpSocket> peers)
     : LoopTask(clock, registry, kPacketsService),
       m_balancers(settings.peers),
@@ -72,7 +72,7 @@
 }
 
 void PacketsTask::SendReset(net::UdpSocket& socket,
-                            const decision::ResetCaller& reset,
+                            const decision::flows::ResetCaller& reset,
                             uint64_t revision) {
   m_metrics.Count(reset.reason);
   base::Log(Level::kWarning, "flow_reset",
--- a/filberthollow/passthrough/packets_task.h
+++ b/filberthollow/passthrough/packets_task.h
@@ -8,14 +8,14 @@
 #include <optional>
 #include <string_view>
 
-#include "filberthollow/decision/balancer_set.h"
-#include "filberthollow/decision/gate_actions.h"
+#include "filberthollow/config/adapter.h"
+#include "filberthollow/decision/flows/gate_actions.h"
+#include "filberthollow/decision/membership/balancer_set.h"
 #include "filberthollow/metrics/metrics.h"
 #include "filberthollow/net/loop_task.h"
 #include "filberthollow/net/udp_socket.h"
-#include "filberthollow/passthrough/adapter.h"
 #include "filberthollow/passthrough/messages.h"
-#include "filberthollow/passthrough/node_file.h"
+#include "filberthollow/settings/node_settings.h"
 #include "filberthollow/wire/packet_codec.h"
 
 namespace filberthollow::passthrough {
@@ -35,8 +35,8 @@
  protected:
   PacketsTask(const base::Clock& clock,
               kernel::Registry& registry,
-              const NodeSettings& settings,
-              const Adapter& adapter,
+              const settings::NodeSettings& settings,
+              const config::Adapter& adapter,
               std::shared_ptr<net::UdpSocket> peers);
 
   // Called after each TickDelay(), to run the time-based decisions of the role.
@@ -68,7 +68,7 @@
   // Sends a reset of a flow to its caller, logs and counts it. `revision` is
   // that of the configuration in force, for the log.
   void SendReset(net::UdpSocket& socket,
-                 const decision::ResetCaller& reset,
+                 const decision::flows::ResetCaller& reset,
                  uint64_t revision);
   // Reschedules the next tick if TickDelay() makes it due earlier than
   // scheduled.
@@ -94,7 +94,7 @@
   void StopIfQuiet(base::Millis quiet, base::Millis at_least);
 
   // Known balancers other than this process.
-  decision::BalancerSet m_balancers;
+  decision::membership::BalancerSet m_balancers;
   metrics::Metrics m_metrics;
 
  private:
--- a/filberthollow/passthrough/settings_watch.cc
+++ b/filberthollow/passthrough/settings_watch.cc
@@ -10,8 +10,8 @@
 using base::Level;
 
 SettingsWatch::SettingsWatch(kernel::Registry& registry,
-                             const Adapter& adapter,
-                             NodeSettings settings)
+                             const config::Adapter& adapter,
+                             settings::NodeSettings settings)
     : m_registry(registry),
       m_adapter(adapter),
       m_settings(std::move(settings)) {}
@@ -26,7 +26,7 @@
   if (!settings || *settings == m_settings) {
     return;
   }
-  NodeSettings applied = m_settings;
+  settings::NodeSettings applied = m_settings;
   applied.seeds = settings->seeds;
   applied.stop_grace = settings->stop_grace;
   base::Log(Level::kInfo, "settings_changed",
--- a/filberthollow/passthrough/settings_watch.h
+++ b/filberthollow/passthrough/settings_watch.h
@@ -11,9 +11,9 @@
 
 #include <string>
 
+#include "filberthollow/config/adapter.h"
 #include "filberthollow/kernel/registry.h"
-#include "filberthollow/passthrough/adapter.h"
-#include "filberthollow/passthrough/node_file.h"
+#include "filberthollow/settings/node_settings.h"
 
 namespace filberthollow::passthrough {
 
@@ -28,8 +28,8 @@
   // `settings` are those that the process was started with. `registry` and
   // `adapter` must outlive this object.
   SettingsWatch(kernel::Registry& registry,
-                const Adapter& adapter,
-                NodeSettings settings);
+                const config::Adapter& adapter,
+                settings::NodeSettings settings);
 
   // Reads the settings. If they have changed, posts the seeds to the packets
   // service and updates settings(). Changes other than to the seeds and the
@@ -38,12 +38,12 @@
   void Check();
 
   // Returns the last settings that were read successfully.
-  const NodeSettings& settings() const { return m_settings; }
+  const settings::NodeSettings& settings() const { return m_settings; }
 
  private:
   kernel::Registry& m_registry;
-  const Adapter& m_adapter;
-  NodeSettings m_settings;
+  const config::Adapter& m_adapter;
+  settings::NodeSettings m_settings;
   // Error of the last read; empty if it succeeded.
   std::string m_last_error;
 };
--- a/filberthollow/passthrough/settings_watch_test.cc
+++ b/filberthollow/passthrough/settings_watch_test.cc
@@ -14,9 +14,9 @@
 constexpr base::Address kOtherSeed{2, 7000};
 
 // The settings that the fake adapter returns; if nullopt, reading them fails.
-std::optional<NodeSettings> g_settings;
+std::optional<settings::NodeSettings> g_settings;
 
-base::Result<NodeSettings> ReadFakeSettings() {
+base::Result<settings::NodeSettings> ReadFakeSettings() {
   if (!g_settings) {
     return base::MakeError(std::errc::invalid_argument, "read settings", "fake",
                            "wrong");
@@ -28,10 +28,10 @@
   kernel::Registry registry;
   std::shared_ptr<kernel::Inbox<PacketsMessage>> inbox =
       std::make_shared<kernel::Inbox<PacketsMessage>>(8, [] {});
-  Adapter adapter{.read_settings = &ReadFakeSettings};
-  NodeSettings initial{.name = "one",
-                       .seeds = {kSeed},
-                       .stop_grace = base::Millis(6000)};
+  config::Adapter adapter{.read_settings = &ReadFakeSettings};
+  settings::NodeSettings initial{.name = "one",
+                                 .seeds = {kSeed},
+                                 .stop_grace = base::Millis(6000)};
   SettingsWatch watch{registry, adapter, initial};
 
   Fixture() {
--- a/filberthollow/platform/adapter.cc
+++ b/filberthollow/platform/adapter.cc
@@ -9,7 +9,7 @@
 
 namespace filberthollow::platform {
 
-passthrough::Adapter MakeAdapter(const passthrough::NodeSettings& settings) {
+config::Adapter MakeAdapter(const settings::NodeSettings& settings) {
   static const PlatformPacketFormat packets;
   return {.packet_format = &packets,
           .read_heartbeat = &ReadHeartbeat,
@@ -24,8 +24,8 @@
 
 int RunOnPlatform(const daemon::DaemonOptions& options,
                   const char* name,
-                  int (*run)(const passthrough::NodeSettings&,
-                             const passthrough::Adapter&)) {
+                  int (*run)(const settings::NodeSettings&,
+                             const config::Adapter&)) {
   auto settings = ReadNodeSettings();
   if (!settings) {
     // Printed to stderr because the log is not set up yet.
--- a/filberthollow/platform/adapter.h
+++ b/filberthollow/platform/adapter.h
@@ -5,15 +5,15 @@
 #ifndef FILBERTHOLLOW_PLATFORM_ADAPTER_H_
 #define FILBERTHOLLOW_PLATFORM_ADAPTER_H_
 
+#include "filberthollow/config/adapter.h"
 #include "filberthollow/daemon/daemon.h"
-#include "filberthollow/passthrough/adapter.h"
 
 namespace filberthollow::platform {
 
 // MakeAdapter returns the functions that translate between the platform's
 // formats and the types of the front end. Its store uses the object API at
 // `settings.platform`.
-passthrough::Adapter MakeAdapter(const passthrough::NodeSettings& settings);
+config::Adapter MakeAdapter(const settings::NodeSettings& settings);
 
 // RunOnPlatform reads the settings file that the platform provides, then calls
 // `run`, which runs the process until it is asked to stop. `name` is the name
@@ -23,8 +23,8 @@
 // which does not call `run`.
 int RunOnPlatform(const daemon::DaemonOptions& options,
                   const char* name,
-                  int (*run)(const passthrough::NodeSettings&,
-                             const passthrough::Adapter&));
+                  int (*run)(const settings::NodeSettings&,
+                             const config::Adapter&));
 
 }  // namespace filberthollow::platform
 
--- a/filberthollow/platform/announcement.cc
+++ b/filberthollow/platform/announcement.cc
@@ -11,17 +11,18 @@
 constexpr std::string_view kInstancesPath = "/filberthollow/instances/";
 constexpr std::string_view kReadinessPath = "/filberthollow/readiness";
 
-std::optional<decision::UpstreamState> ParseState(const std::string& name) {
+std::optional<decision::flows::UpstreamState> ParseState(
+    const std::string& name) {
   if (name == "ready") {
-    return decision::UpstreamState::kReady;
+    return decision::flows::UpstreamState::kReady;
   }
   if (name == "draining") {
-    return decision::UpstreamState::kDraining;
+    return decision::flows::UpstreamState::kDraining;
   }
   return std::nullopt;
 }
 
-std::optional<decision::UpstreamHeartbeat> ParseHeartbeat(
+std::optional<decision::flows::UpstreamHeartbeat> ParseHeartbeat(
     std::string id,
     const std::string& body) {
   try {
@@ -31,7 +32,7 @@
         !fields.at("sequence").is_number_integer()) {
       return std::nullopt;
     }
-    return decision::UpstreamHeartbeat{
+    return decision::flows::UpstreamHeartbeat{
         .id = std::move(id),
         .service = fields.at("service").get<std::string>(),
         .started = base::Millis(fields.at("born").get<int64_t>()),
@@ -47,15 +48,15 @@
 
 }  // namespace
 
-std::optional<decision::UpstreamHeartbeat> ReadHeartbeat(
+std::optional<decision::flows::UpstreamHeartbeat> ReadHeartbeat(
     const net::HttpServerRequest& request) {
   if (!request.path.starts_with(kInstancesPath)) {
     return std::nullopt;
   }
   std::string id = request.path.substr(kInstancesPath.size());
   if (request.method == "DELETE") {
-    return decision::UpstreamHeartbeat{.id = std::move(id),
-                                       .state = decision::UpstreamState::kGone};
+    return decision::flows::UpstreamHeartbeat{
+        .id = std::move(id), .state = decision::flows::UpstreamState::kGone};
   }
   return request.method == "PUT" ? ParseHeartbeat(std::move(id), request.body)
                                  : std::nullopt;
--- a/filberthollow/platform/announcement.h
+++ b/filberthollow/platform/announcement.h
@@ -4,14 +4,14 @@
 //   DELETE /filberthollow/instances/ID   planned termination of the upstream ID
 //   GET    /filberthollow/readiness      readiness check
 //
-//   std::optional<decision::UpstreamHeartbeat> heartbeat =
+//   std::optional<decision::flows::UpstreamHeartbeat> heartbeat =
 //       ReadHeartbeat(request);
 #ifndef FILBERTHOLLOW_PLATFORM_ANNOUNCEMENT_H_
 #define FILBERTHOLLOW_PLATFORM_ANNOUNCEMENT_H_
 
 #include <optional>
 
-#include "filberthollow/decision/packet_messages.h"
+#include "filberthollow/decision/flows/packet_messages.h"
 #include "filberthollow/net/http_server.h"
 
 namespace filberthollow::platform {
@@ -21,7 +21,7 @@
 // Returns nullopt if the path or the method is another one, the body is not
 // valid JSON, a field is missing or cannot be read as its type, or the state
 // is unknown.
-std::optional<decision::UpstreamHeartbeat> ReadHeartbeat(
+std::optional<decision::flows::UpstreamHeartbeat> ReadHeartbeat(
     const net::HttpServerRequest& request);
 
 // IsReadinessCheck returns whether the request is the network fabric's check
--- a/filberthollow/platform/node_settings.cc
+++ b/filberthollow/platform/node_settings.cc
@@ -150,7 +150,7 @@
 
 }  // namespace
 
-base::Result<passthrough::NodeSettings> ParseNodeSettings(
+base::Result<settings::NodeSettings> ParseNodeSettings(
     std::string_view text,
     std::string_view source) {
   constexpr base::Millis kDefaultStopGrace{6000};
@@ -159,7 +159,7 @@
   SettingsFields fields(text, source);
   uint16_t peer_port = PeerPort(fields);
   base::Address packets = fields.RequiredAddress("listenAddresses.packets");
-  passthrough::NodeSettings node_settings{
+  settings::NodeSettings node_settings{
       .name = fields.Text("node"),
       .data_centre = fields.Text("zone"),
       .peers = {packets.ip, peer_port},
@@ -185,7 +185,7 @@
   return node_settings;
 }
 
-base::Result<passthrough::NodeSettings> ReadNodeSettings() {
+base::Result<settings::NodeSettings> ReadNodeSettings() {
   const char* env_path = std::getenv(kPathEnvironmentVariable);
   std::string path = env_path == nullptr ? kDefaultPath : env_path;
   auto text = settings::ReadFile(path);
--- a/filberthollow/platform/platform_test.cc
+++ b/filberthollow/platform/platform_test.cc
@@ -56,14 +56,15 @@
           "slots":4,"state":"draining","coldRemainingMs":7,"sequence":3,
           "born":1700000000123})"));
   BOOST_REQUIRE(heartbeat.has_value());
-  BOOST_TEST((*heartbeat == decision::UpstreamHeartbeat{
-                                .id = "i-7",
-                                .service = "desk",
-                                .started = base::Millis(1700000000123),
-                                .sequence = 3,
-                                .state = decision::UpstreamState::kDraining,
-                                .slots = 4,
-                                .cold_remaining = base::Millis(7)}));
+  BOOST_TEST(
+      (*heartbeat == decision::flows::UpstreamHeartbeat{
+                         .id = "i-7",
+                         .service = "desk",
+                         .started = base::Millis(1700000000123),
+                         .sequence = 3,
+                         .state = decision::flows::UpstreamState::kDraining,
+                         .slots = 4,
+                         .cold_remaining = base::Millis(7)}));
 }
 
 BOOST_AUTO_TEST_CASE(RejectsMalformedHeartbeats) {
@@ -82,7 +83,7 @@
   auto heartbeat = ReadHeartbeat(
       {.method = "DELETE", .path = "/filberthollow/instances/i-7"});
   BOOST_REQUIRE(heartbeat.has_value());
-  BOOST_TEST((heartbeat->state == decision::UpstreamState::kGone));
+  BOOST_TEST((heartbeat->state == decision::flows::UpstreamState::kGone));
   BOOST_TEST(heartbeat->id == "i-7");
 }
 
--- a/filberthollow/passthrough/node_file.h
+++ b/filberthollow/settings/node_settings.h
@@ -1,7 +1,7 @@
 // NodeSettings are the settings of one pass-through process: its identity, its
 // location, and the addresses it uses.
-#ifndef FILBERTHOLLOW_PASSTHROUGH_NODE_FILE_H_
-#define FILBERTHOLLOW_PASSTHROUGH_NODE_FILE_H_
+#ifndef FILBERTHOLLOW_SETTINGS_NODE_SETTINGS_H_
+#define FILBERTHOLLOW_SETTINGS_NODE_SETTINGS_H_
 
 #include <string>
 #include <vector>
@@ -9,7 +9,7 @@
 #include "filberthollow/base/address.h"
 #include "filberthollow/base/clock.h"
 
-namespace filberthollow::passthrough {
+namespace filberthollow::settings {
 
 // The settings of a balancer or an agent. Members that do not apply to the role
 // of the process are empty.
@@ -59,6 +59,6 @@
   friend bool operator==(const NodeSettings&, const NodeSettings&) = default;
 };
 
-}  // namespace filberthollow::passthrough
+}  // namespace filberthollow::settings
 
-#endif  // FILBERTHOLLOW_PASSTHROUGH_NODE_FILE_H_
+#endif  // FILBERTHOLLOW_SETTINGS_NODE_SETTINGS_H_
--- a/filberthollow/testing/fake_links.cc
+++ b/filberthollow/testing/fake_links.cc
@@ -19,18 +19,20 @@
 
 FakeLinks::FakeLinks(size_t nodes, uint32_t loss_percent, uint64_t seed)
     : m_loss_percent(loss_percent), m_random(seed) {
-  std::vector<decision::MemberRecord> records;
+  std::vector<decision::membership::MemberRecord> records;
   for (size_t i = 0; i < nodes; ++i) {
-    records.push_back({.id = decision::MemberId{base::HashWords({i})},
-                       .kind = decision::MemberKind::kBalancer,
-                       .state = decision::MemberState::kReady,
-                       .incarnation = base::Incarnation{1},
-                       .sequence = 1,
-                       .address = AddressOf(i)});
+    records.push_back(
+        {.id = decision::membership::MemberId{base::HashWords({i})},
+         .kind = decision::membership::MemberKind::kBalancer,
+         .state = decision::membership::MemberState::kReady,
+         .incarnation = base::Incarnation{1},
+         .sequence = 1,
+         .address = AddressOf(i)});
   }
   for (size_t i = 0; i < nodes; ++i) {
-    m_nodes.push_back(std::make_unique<decision::Gossip>(records[i], seed + i));
-    for (const decision::MemberRecord& record : records) {
+    m_nodes.push_back(
+        std::make_unique<decision::membership::Gossip>(records[i], seed + i));
+    for (const decision::membership::MemberRecord& record : records) {
       m_nodes.back()->LearnWithoutSpreading(record);
     }
   }
@@ -44,9 +46,10 @@
   }
 }
 
-void FakeLinks::Deliver(size_t from,
-                        const std::vector<decision::GossipSend>& sends) {
-  for (const decision::GossipSend& send : sends) {
+void FakeLinks::Deliver(
+    size_t from,
+    const std::vector<decision::membership::GossipSend>& sends) {
+  for (const decision::membership::GossipSend& send : sends) {
     ++m_traffic.messages;
     m_traffic.bytes += wire::EncodeControl(send.message, kKeys).size();
     size_t to = IndexOf(send.to);
@@ -59,12 +62,14 @@
   }
 }
 
-uint32_t FakeLinks::RunUntilAllKnow(const decision::MemberRecord& record,
-                                    uint32_t limit) {
+uint32_t FakeLinks::RunUntilAllKnow(
+    const decision::membership::MemberRecord& record,
+    uint32_t limit) {
   for (uint32_t round = 0; round < limit; ++round) {
     bool all = true;
     for (const auto& node : m_nodes) {
-      const decision::MemberRecord* held = node->directory().Find(record.id);
+      const decision::membership::MemberRecord* held =
+          node->directory().Find(record.id);
       all = all && held != nullptr && *held == record;
     }
     if (all) {
--- a/filberthollow/testing/fake_links.h
+++ b/filberthollow/testing/fake_links.h
@@ -11,7 +11,7 @@
 #include <random>
 #include <vector>
 
-#include "filberthollow/decision/gossip.h"
+#include "filberthollow/decision/membership/gossip.h"
 
 namespace filberthollow::testing {
 
@@ -33,25 +33,26 @@
   void Run(uint32_t rounds);
   // Runs rounds until every node holds exactly this record, but no more than
   // `limit` rounds. Returns the number of rounds run.
-  uint32_t RunUntilAllKnow(const decision::MemberRecord& record,
+  uint32_t RunUntilAllKnow(const decision::membership::MemberRecord& record,
                            uint32_t limit);
   // Partitions the network into the nodes below index `first` and the others. 0
   // removes the partition.
   void SetPartition(size_t first) { m_partition = first; }
 
-  decision::Gossip& node(size_t index) { return *m_nodes[index]; }
+  decision::membership::Gossip& node(size_t index) { return *m_nodes[index]; }
   size_t size() const { return m_nodes.size(); }
   // Returns the traffic since the last call.
   LinkTraffic TakeTraffic() { return std::exchange(m_traffic, {}); }
 
  private:
   // Delivers messages of node `from` and, recursively, the answers to them.
-  void Deliver(size_t from, const std::vector<decision::GossipSend>& sends);
+  void Deliver(size_t from,
+               const std::vector<decision::membership::GossipSend>& sends);
 
   const uint32_t m_loss_percent;
   std::mt19937_64 m_random;
   size_t m_partition = 0;
-  std::vector<std::unique_ptr<decision::Gossip>> m_nodes;
+  std::vector<std::unique_ptr<decision::membership::Gossip>> m_nodes;
   LinkTraffic m_traffic;
 };
 
--- a/filberthollow/testing/gate_fixture.h
+++ b/filberthollow/testing/gate_fixture.h
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "filberthollow/decision/upstream_gate.h"
+#include "filberthollow/decision/flows/upstream_gate.h"
 #include "filberthollow/testing/packet_fixtures.h"
 
 namespace filberthollow::testing {
@@ -18,35 +18,38 @@
 // since the last such call.
 struct GateFixture {
   base::Millis now{10'000};
-  decision::UpstreamGate gate;
-  decision::GateActions actions;
+  decision::flows::UpstreamGate gate;
+  decision::flows::GateActions actions;
 
   explicit GateFixture(bool first_start = true)
-      : gate(
-            decision::GateOptions{.service = kDesk, .first_start = first_start},
-            now) {
+      : gate(decision::flows::GateOptions{.service = kDesk,
+                                          .first_start = first_start},
+             now) {
     gate.SetRoutes(TwoRoutes(5));
   }
 
-  decision::GateActions TakeActions() { return std::exchange(actions, {}); }
-  decision::GateActions DeliverHeartbeat(
-      const decision::UpstreamHeartbeat& beat) {
+  decision::flows::GateActions TakeActions() {
+    return std::exchange(actions, {});
+  }
+  decision::flows::GateActions DeliverHeartbeat(
+      const decision::flows::UpstreamHeartbeat& beat) {
     gate.OnHeartbeat(beat, now, actions);
     return TakeActions();
   }
-  decision::GateActions Forward(const flow::PacketHeader& header,
-                                decision::Forward forward = {.revision = 5,
-                                                             .packet = "p"}) {
+  decision::flows::GateActions Forward(const flow::PacketHeader& header,
+                                       decision::flows::Forward forward = {
+                                           .revision = 5,
+                                           .packet = "p"}) {
     gate.OnForward(forward, header, kBalancer, now, actions);
     return TakeActions();
   }
-  decision::GateActions FromUpstream(const flow::PacketHeader& header) {
+  decision::flows::GateActions FromUpstream(const flow::PacketHeader& header) {
     gate.OnUpstreamPacket("u", header, now, actions);
     return TakeActions();
   }
   // Advances the clock by `time`, with a tick at least every kTickStep.
-  decision::GateActions AdvanceTime(base::Millis time) {
-    decision::GateActions all;
+  decision::flows::GateActions AdvanceTime(base::Millis time) {
+    decision::flows::GateActions all;
     for (base::Millis end = now + time; now < end;) {
       now = now + std::min(kTickStep, end - now);
       gate.OnTick(now, actions);
@@ -58,10 +61,10 @@
   }
   // Returns whether the gate holds kDeskFlow for a caller with this last
   // acknowledgement.
-  decision::Holding AskHolding(
+  decision::flows::Holding AskHolding(
       uint32_t acknowledged = kUpstreamInitialSequence + 1) {
     gate.OnLocate({{{kDeskFlow, acknowledged}}}, kBalancer, now, actions);
-    return ActionsOfType<decision::AnswerLocate>(TakeActions())
+    return ActionsOfType<decision::flows::AnswerLocate>(TakeActions())
         .at(0)
         .answer.flows.at(0)
         .holding;
--- a/filberthollow/testing/in_process_path.cc
+++ b/filberthollow/testing/in_process_path.cc
@@ -17,45 +17,47 @@
 InProcessPath::InProcessPath(LinkFaults faults, uint64_t seed)
     : m_faults(faults), m_random(seed), m_keys({flow::Key{1, {1, 2, 3, 4}}}) {}
 
-InProcessPath::Target& InProcessPath::AddTarget(const std::string& service,
-                                                decision::TargetLimits limits) {
+InProcessPath::Target& InProcessPath::AddTarget(
+    const std::string& service,
+    decision::flows::TargetLimits limits) {
   auto index = static_cast<uint16_t>(m_targets.size() + 1);
   auto target = std::make_unique<Target>();
   target->service = service;
-  target->flows = std::make_unique<decision::TargetFlows>(
-      decision::TargetIdentity{base::ServiceIdOf(service),
-                               base::TargetId{index},
-                               base::Incarnation{m_next_incarnation++},
-                               {kAgentIp, index}},
+  target->flows = std::make_unique<decision::flows::TargetFlows>(
+      decision::flows::TargetIdentity{base::ServiceIdOf(service),
+                                      base::TargetId{index},
+                                      base::Incarnation{m_next_incarnation++},
+                                      {kAgentIp, index}},
       limits, m_keys);
-  target->flows->SetReadiness(decision::Readiness::kReady);
+  target->flows->SetReadiness(decision::flows::Readiness::kReady);
   m_targets.push_back(std::move(target));
   return *m_targets.back();
 }
 
 void InProcessPath::Restart(Target& target) {
-  decision::TargetIdentity identity = target.flows->identity();
+  decision::flows::TargetIdentity identity = target.flows->identity();
   identity.incarnation = base::Incarnation{m_next_incarnation++};
-  target.flows = std::make_unique<decision::TargetFlows>(
-      identity, decision::TargetLimits{}, m_keys);
-  target.flows->SetReadiness(decision::Readiness::kReady);
+  target.flows = std::make_unique<decision::flows::TargetFlows>(
+      identity, decision::flows::TargetLimits{}, m_keys);
+  target.flows->SetReadiness(decision::flows::Readiness::kReady);
   target.crashed = false;
 }
 
-decision::Router& InProcessPath::AddRouter() {
-  m_routers.push_back(std::make_unique<decision::Router>(m_keys));
+decision::flows::Router& InProcessPath::AddRouter() {
+  m_routers.push_back(std::make_unique<decision::flows::Router>(m_keys));
   PublishView(m_routers.size() - 1);
   return *m_routers.back();
 }
 
 void InProcessPath::PublishView(size_t index) {
-  decision::TargetView view;
+  decision::flows::TargetView view;
   for (const auto& target : m_targets) {
-    decision::ServiceView& service =
+    decision::flows::ServiceView& service =
         view.services[base::ServiceIdOf(target->service)];
-    const decision::TargetIdentity& identity = target->flows->identity();
-    bool takes_flows = !target->crashed && target->flows->readiness() ==
-                                               decision::Readiness::kReady;
+    const decision::flows::TargetIdentity& identity = target->flows->identity();
+    bool takes_flows =
+        !target->crashed &&
+        target->flows->readiness() == decision::flows::Readiness::kReady;
     if (takes_flows) {
       service.candidates.push_back(
           {identity.target, identity.incarnation, identity.agent, 100, 0});
@@ -140,14 +142,15 @@
 void InProcessPath::DeliverToRouter(base::Address caller,
                                     const std::string& text) {
   flow::Up message = DecodeUpJson(text);
-  decision::Router& router = *m_routers[m_random() % m_routers.size()];
-  decision::Route route = router.RouteMessage(message, caller, m_now);
-  if (auto* forward = std::get_if<decision::ForwardToAgent>(&route)) {
+  decision::flows::Router& router = *m_routers[m_random() % m_routers.size()];
+  decision::flows::Route route = router.RouteMessage(message, caller, m_now);
+  if (auto* forward = std::get_if<decision::flows::ForwardToAgent>(&route)) {
     SendOverLink([this, agent = forward->agent,
                   relayed = flow::RelayedUp{caller, forward->flow, message}] {
       DeliverToAgent(agent, relayed);
     });
-  } else if (auto* reply = std::get_if<decision::ReplyToCaller>(&route)) {
+  } else if (auto* reply =
+                 std::get_if<decision::flows::ReplyToCaller>(&route)) {
     DeliverToClient(caller, EncodeJson(reply->message));
   }
 }
@@ -163,14 +166,14 @@
 }
 
 void InProcessPath::Perform(Target& target,
-                            const decision::AgentActions& actions) {
-  for (const decision::OutgoingMessage& send : actions.sends) {
+                            const decision::flows::AgentActions& actions) {
+  for (const decision::flows::OutgoingMessage& send : actions.sends) {
     SendOverLink([this, caller = send.message.caller,
                   text = EncodeJson(send.message.message)] {
       DeliverToClient(caller, text);
     });
   }
-  for (const decision::UpstreamRequest& request : actions.starts) {
+  for (const decision::flows::UpstreamRequest& request : actions.starts) {
     ++target.runs[request.path];
     target.retry_runs += request.attempt > 1 ? 1 : 0;
     Schedule(m_now + target.work_time,
@@ -183,17 +186,18 @@
                           actions.cancels.end());
 }
 
-void InProcessPath::FinishRequest(Target& target,
-                                  base::Incarnation incarnation,
-                                  const decision::UpstreamRequest& request) {
+void InProcessPath::FinishRequest(
+    Target& target,
+    base::Incarnation incarnation,
+    const decision::flows::UpstreamRequest& request) {
   if (target.crashed || target.flows->identity().incarnation != incarnation) {
     return;
   }
   std::string body = target.service + " " + request.path +
                      std::string(target.answer_bytes, '.');
   Perform(target, target.flows->OnResult(
-                      {request.request_id, decision::UpstreamResult::kAnswered,
-                       200, body},
+                      {request.request_id,
+                       decision::flows::UpstreamResult::kAnswered, 200, body},
                       m_now));
 }
 
--- a/filberthollow/testing/in_process_path.h
+++ b/filberthollow/testing/in_process_path.h
@@ -24,8 +24,8 @@
 #include <vector>
 
 #include "filberthollow/caller/flow_client.h"
-#include "filberthollow/decision/router.h"
-#include "filberthollow/decision/target_flows.h"
+#include "filberthollow/decision/flows/router.h"
+#include "filberthollow/decision/flows/target_flows.h"
 
 namespace filberthollow::testing {
 
@@ -44,13 +44,13 @@
   // A target: the flows of an agent, and the upstream beside it.
   struct Target {
     std::string service;
-    std::unique_ptr<decision::TargetFlows> flows;
+    std::unique_ptr<decision::flows::TargetFlows> flows;
     base::Millis work_time{5};  // duration of each request at the upstream
     size_t answer_bytes = 0;    // padding added to each answer
     bool crashed = false;       // neither handles messages nor sends any
     std::map<std::string, uint32_t> runs;  // started requests by path
     uint64_t retry_runs = 0;  // started requests that were not first attempts
-    std::vector<decision::RequestId> cancelled;
+    std::vector<decision::load::RequestId> cancelled;
   };
   // A caller with one flow client.
   struct Client {
@@ -66,10 +66,11 @@
 
   // The references that the Add functions return stay valid as long as this
   // object. A router knows a target only after PublishView().
-  Target& AddTarget(const std::string& service, decision::TargetLimits limits);
+  Target& AddTarget(const std::string& service,
+                    decision::flows::TargetLimits limits);
   // Adds a router that knows the targets added so far. Each message of a caller
   // goes to a router drawn at random.
-  decision::Router& AddRouter();
+  decision::flows::Router& AddRouter();
   Client& AddClient(const std::string& service,
                     caller::ClientOptions options = {});
   // Gives router `index` a view of the targets that are ready and not crashed.
@@ -99,7 +100,7 @@
   // and not at all for a lost one.
   void SendOverLink(const Event& deliver);
   void Perform(Client& client, const caller::ClientOutput& output);
-  void Perform(Target& target, const decision::AgentActions& actions);
+  void Perform(Target& target, const decision::flows::AgentActions& actions);
   void DeliverToRouter(base::Address caller, const std::string& text);
   void DeliverToClient(base::Address caller, const std::string& text);
   void DeliverToAgent(base::Address agent, const flow::RelayedUp& message);
@@ -107,7 +108,7 @@
   // crashed or has been restarted since `incarnation`.
   void FinishRequest(Target& target,
                      base::Incarnation incarnation,
-                     const decision::UpstreamRequest& request);
+                     const decision::flows::UpstreamRequest& request);
 
   const LinkFaults m_faults;
   std::mt19937_64 m_random;
@@ -115,7 +116,7 @@
   base::Millis m_now{1000};
   std::multimap<base::Millis, Event> m_events;
   std::vector<std::unique_ptr<Target>> m_targets;
-  std::vector<std::unique_ptr<decision::Router>> m_routers;
+  std::vector<std::unique_ptr<decision::flows::Router>> m_routers;
   std::vector<std::unique_ptr<Client>> m_clients;
   uint64_t m_next_incarnation = 1;
   uint64_t m_next_job = 1;
--- a/filberthollow/testing/packet_fixtures.cc
+++ b/filberthollow/testing/packet_fixtures.cc
@@ -2,12 +2,13 @@
 
 namespace filberthollow::testing {
 
-std::shared_ptr<const decision::RouteTable> TwoRoutes(uint64_t revision) {
+std::shared_ptr<const decision::flows::RouteTable> TwoRoutes(
+    uint64_t revision) {
   settings::Tree tree;
   tree.root.idle_flow_s = 15;
   tree.services["desk"].overrides.connections = 3;
   tree.services["maps"] = {};
-  return std::make_shared<const decision::RouteTable>(
+  return std::make_shared<const decision::flows::RouteTable>(
       revision, tree,
       std::vector<settings::Route>{
           {.name = "desk", .address = kDeskRoute, .shares = {{"desk", 1}}},
@@ -62,9 +63,10 @@
   return header;
 }
 
-decision::UpstreamHeartbeat MakeHeartbeat(uint64_t sequence,
-                                          decision::UpstreamState state,
-                                          int64_t started) {
+decision::flows::UpstreamHeartbeat MakeHeartbeat(
+    uint64_t sequence,
+    decision::flows::UpstreamState state,
+    int64_t started) {
   return {.id = "i-" + std::to_string(started),
           .service = "desk",
           .started = base::Millis(started),
--- a/filberthollow/testing/packet_fixtures.h
+++ b/filberthollow/testing/packet_fixtures.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "filberthollow/decision/packet_messages.h"
-#include "filberthollow/decision/route_table.h"
+#include "filberthollow/decision/flows/packet_messages.h"
+#include "filberthollow/decision/flows/route_table.h"
 #include "filberthollow/flow/packet.h"
 
 namespace filberthollow::testing {
@@ -26,7 +26,7 @@
 // Returns routes for two services. The requests of kDesk must not be repeated;
 // those of kMaps are idempotent. kDesk has a connection limit of 3, and idle
 // flows expire after 15 s.
-std::shared_ptr<const decision::RouteTable> TwoRoutes(uint64_t revision);
+std::shared_ptr<const decision::flows::RouteTable> TwoRoutes(uint64_t revision);
 
 // Headers of a caller's packets on kDeskFlow, or on `route`. `copy` is the copy
 // number of a retransmitted opening packet.
@@ -41,9 +41,10 @@
 
 // Returns a heartbeat of an upstream of kDesk. `started` is the start time in
 // milliseconds, which identifies the run.
-decision::UpstreamHeartbeat MakeHeartbeat(
+decision::flows::UpstreamHeartbeat MakeHeartbeat(
     uint64_t sequence,
-    decision::UpstreamState state = decision::UpstreamState::kReady,
+    decision::flows::UpstreamState state =
+        decision::flows::UpstreamState::kReady,
     int64_t started = 1000);
 
 // Returns the actions of type T, in order.
--- a/filberthollow/wire/codec_test.cc
+++ b/filberthollow/wire/codec_test.cc
@@ -58,10 +58,10 @@
                         .retry_after = base::Millis(200)}};
 }
 
-decision::MemberRecord Record(uint64_t id) {
-  return {.id = decision::MemberId{id},
-          .kind = decision::MemberKind::kBalancer,
-          .state = decision::MemberState::kDraining,
+decision::membership::MemberRecord Record(uint64_t id) {
+  return {.id = decision::membership::MemberId{id},
+          .kind = decision::membership::MemberKind::kBalancer,
+          .state = decision::membership::MemberState::kDraining,
           .incarnation = base::Incarnation{5},
           .sequence = 6,
           .service = base::ServiceId{7},
@@ -72,17 +72,19 @@
 }
 
 std::vector<ControlMessage> ControlSamples() {
-  decision::GossipMessage gossip{.sender = Record(1), .revision = 4};
-  for (uint64_t i = 0; i < decision::Gossip::kMaxRecords; ++i) {
+  decision::membership::GossipMessage gossip{.sender = Record(1),
+                                             .revision = 4};
+  for (uint64_t i = 0; i < decision::membership::Gossip::kMaxRecords; ++i) {
     gossip.records.push_back(Record(i));
   }
-  gossip.suspicions.push_back({.member = decision::MemberId{3}, .sequence = 4});
+  gossip.suspicions.push_back(
+      {.member = decision::membership::MemberId{3}, .sequence = 4});
   gossip.group_digests.emplace().fill(42);
   gossip.bucket_group = 5;
   gossip.bucket_digests.fill(43);
   gossip.requested_buckets = {1, 2};
   return {Heartbeat{Record(2), 5, "riga-a", "c-1", 80},
-          HeartbeatAck{.member = decision::MemberId{2},
+          HeartbeatAck{.member = decision::membership::MemberId{2},
                        .suspected = true,
                        .key_epoch = 3,
                        .interval = base::Millis(1500),
--- a/filberthollow/wire/control_codec.cc
+++ b/filberthollow/wire/control_codec.cc
@@ -10,8 +10,8 @@
 namespace {
 
 using base::Value;
-using decision::GossipMessage;
-using decision::Suspicion;
+using decision::membership::GossipMessage;
+using decision::membership::Suspicion;
 using flow::Reason;
 using internal::Read;
 using internal::Write;
@@ -26,10 +26,10 @@
 }
 
 Suspicion Read(generated::Suspicion::Reader in) {
-  return {.member = decision::MemberId{in.getMember()},
+  return {.member = decision::membership::MemberId{in.getMember()},
           .incarnation = base::Incarnation{in.getIncarnation()},
           .sequence = in.getSequence(),
-          .observer = decision::MemberId{in.getObserver()}};
+          .observer = decision::membership::MemberId{in.getObserver()}};
 }
 
 void Write(const Heartbeat& m, generated::Control::Builder control) {
@@ -75,7 +75,7 @@
 
 bool Read(generated::HeartbeatAck::Reader in, ControlMessage& out) {
   HeartbeatAck m{
-      .member = decision::MemberId{in.getMember()},
+      .member = decision::membership::MemberId{in.getMember()},
       .known_incarnation = base::Incarnation{in.getKnownIncarnation()},
       .suspected = in.getSuspected(),
       .key_epoch = in.getKeyEpoch(),
@@ -110,15 +110,15 @@
     Write(m.suspicions[i], suspicions[i]);
   }
   if (m.group_digests) {
-    auto groups = out.initGroups(decision::kGroups);
-    for (unsigned i = 0; i < decision::kGroups; ++i) {
+    auto groups = out.initGroups(decision::membership::kGroups);
+    for (unsigned i = 0; i < decision::membership::kGroups; ++i) {
       groups.set(i, m.group_digests->at(i));
     }
   }
   if (m.bucket_group) {
     out.setGroup(static_cast<int32_t>(*m.bucket_group));
-    auto buckets = out.initBuckets(decision::kBucketsPerGroup);
-    for (unsigned i = 0; i < decision::kBucketsPerGroup; ++i) {
+    auto buckets = out.initBuckets(decision::membership::kBucketsPerGroup);
+    for (unsigned i = 0; i < decision::membership::kBucketsPerGroup; ++i) {
       buckets.set(i, m.bucket_digests.at(i));
     }
   }
@@ -131,19 +131,19 @@
 
 bool ReadDigests(generated::Gossip::Reader in, GossipMessage& m) {
   auto groups = in.getGroups();
-  if (groups.size() == decision::kGroups) {
+  if (groups.size() == decision::membership::kGroups) {
     m.group_digests.emplace();
-    for (unsigned i = 0; i < decision::kGroups; ++i) {
+    for (unsigned i = 0; i < decision::membership::kGroups; ++i) {
       m.group_digests->at(i) = groups[i];
     }
   }
   if (in.getGroup() >= 0) {
     auto buckets = in.getBuckets();
-    if (buckets.size() != decision::kBucketsPerGroup) {
+    if (buckets.size() != decision::membership::kBucketsPerGroup) {
       return false;
     }
     m.bucket_group = static_cast<uint32_t>(in.getGroup());
-    for (unsigned i = 0; i < decision::kBucketsPerGroup; ++i) {
+    for (unsigned i = 0; i < decision::membership::kBucketsPerGroup; ++i) {
       m.bucket_digests.at(i) = buckets[i];
     }
   }
@@ -153,9 +153,10 @@
 bool Read(generated::Gossip::Reader in, ControlMessage& out) {
   GossipMessage m;
   if (!Read(in.getSender(), m.sender) || !ReadDigests(in, m) ||
-      in.getRecords().size() > decision::Gossip::kMaxRecords ||
-      in.getSuspicions().size() > decision::Gossip::kMaxSuspicions ||
-      in.getWanted().size() > decision::Gossip::kMaxBuckets) {
+      in.getRecords().size() > decision::membership::Gossip::kMaxRecords ||
+      in.getSuspicions().size() >
+          decision::membership::Gossip::kMaxSuspicions ||
+      in.getWanted().size() > decision::membership::Gossip::kMaxBuckets) {
     return false;
   }
   m.revision = in.getRevision();
--- a/filberthollow/wire/control_codec.h
+++ b/filberthollow/wire/control_codec.h
@@ -12,7 +12,7 @@
 #include <string_view>
 #include <variant>
 
-#include "filberthollow/decision/gossip.h"
+#include "filberthollow/decision/membership/gossip.h"
 #include "filberthollow/settings/fields.h"
 #include "filberthollow/wire/codec.h"
 
@@ -20,7 +20,7 @@
 
 // Heartbeat reports the liveness and state of a target to its observer.
 struct Heartbeat {
-  decision::MemberRecord record;
+  decision::membership::MemberRecord record;
   uint64_t settings_revision = 0;  // revision of the agent's active settings
   std::string data_centre;
   std::string target;
@@ -31,7 +31,7 @@
 // HeartbeatAck acknowledges a heartbeat and carries settings that the agent
 // does not have yet.
 struct HeartbeatAck {
-  decision::MemberId member{};
+  decision::membership::MemberId member{};
   base::Incarnation known_incarnation{};  // newest known to the observer
   bool suspected = false;  // to be refuted with a higher sequence
   uint32_t key_epoch = 0;
@@ -42,7 +42,7 @@
 };
 
 using ControlMessage =
-    std::variant<Heartbeat, HeartbeatAck, decision::GossipMessage>;
+    std::variant<Heartbeat, HeartbeatAck, decision::membership::GossipMessage>;
 
 std::string EncodeControl(const ControlMessage& message,
                           const flow::KeyRing& keys);
--- a/filberthollow/wire/member_record_codec.cc
+++ b/filberthollow/wire/member_record_codec.cc
@@ -6,7 +6,7 @@
 namespace {
 
 using base::Value;
-using decision::MemberRecord;
+using decision::membership::MemberRecord;
 
 uint16_t Clamp16(uint32_t value) {
   return static_cast<uint16_t>(std::min<uint32_t>(value, UINT16_MAX));
@@ -29,13 +29,15 @@
 }
 
 bool Read(generated::MemberRecord::Reader in, MemberRecord& out) {
-  if (in.getKind() > static_cast<uint8_t>(decision::MemberKind::kBalancer) ||
-      in.getState() > static_cast<uint8_t>(decision::MemberState::kDead)) {
+  if (in.getKind() >
+          static_cast<uint8_t>(decision::membership::MemberKind::kBalancer) ||
+      in.getState() >
+          static_cast<uint8_t>(decision::membership::MemberState::kDead)) {
     return false;
   }
-  out = {.id = decision::MemberId{in.getId()},
-         .kind = static_cast<decision::MemberKind>(in.getKind()),
-         .state = static_cast<decision::MemberState>(in.getState()),
+  out = {.id = decision::membership::MemberId{in.getId()},
+         .kind = static_cast<decision::membership::MemberKind>(in.getKind()),
+         .state = static_cast<decision::membership::MemberState>(in.getState()),
          .incarnation = base::Incarnation{in.getIncarnation()},
          .sequence = in.getSequence(),
          .service = base::ServiceId{in.getService()},
--- a/filberthollow/wire/packet_codec.cc
+++ b/filberthollow/wire/packet_codec.cc
@@ -9,14 +9,14 @@
 namespace {
 
 using base::Value;
-using decision::BalancerHello;
-using decision::FlowAnswer;
-using decision::Forward;
-using decision::kMaxFlowsPerLocate;
-using decision::Locate;
-using decision::Located;
-using decision::UpstreamLoad;
-using decision::UpstreamReport;
+using decision::flows::BalancerHello;
+using decision::flows::FlowAnswer;
+using decision::flows::Forward;
+using decision::flows::kMaxFlowsPerLocate;
+using decision::flows::Locate;
+using decision::flows::Located;
+using decision::flows::UpstreamReport;
+using decision::load::UpstreamLoad;
 
 using Builder = generated::PacketMessage::Builder;
 
@@ -105,11 +105,13 @@
 bool Read(generated::Located::Reader in, PacketMessage& out) {
   Located located{.load = Read(in.getLoad())};
   for (auto flow : in.getFlows()) {
-    if (flow.getHolding() > static_cast<uint8_t>(decision::Holding::kUnsure)) {
+    if (flow.getHolding() >
+        static_cast<uint8_t>(decision::flows::Holding::kUnsure)) {
       return false;
     }
     located.flows.push_back(
-        {ReadEnds(flow), static_cast<decision::Holding>(flow.getHolding())});
+        {ReadEnds(flow),
+         static_cast<decision::flows::Holding>(flow.getHolding())});
   }
   bool valid = located.flows.size() <= kMaxFlowsPerLocate;
   out = std::move(located);
@@ -126,15 +128,17 @@
 }
 
 bool Read(generated::FlowAnswer::Reader in, PacketMessage& out) {
-  if (in.getHolding() > static_cast<uint8_t>(decision::Holding::kRefused) ||
+  if (in.getHolding() >
+          static_cast<uint8_t>(decision::flows::Holding::kRefused) ||
       !flow::IsReason(in.getReason())) {
     return false;
   }
-  out = FlowAnswer{.flow = ReadEnds(in.getFlow()),
-                   .holding = static_cast<decision::Holding>(in.getHolding()),
-                   .reason = static_cast<flow::Reason>(in.getReason()),
-                   .load = Read(in.getLoad()),
-                   .packet = StringOf(in.getPacket())};
+  out = FlowAnswer{
+      .flow = ReadEnds(in.getFlow()),
+      .holding = static_cast<decision::flows::Holding>(in.getHolding()),
+      .reason = static_cast<flow::Reason>(in.getReason()),
+      .load = Read(in.getLoad()),
+      .packet = StringOf(in.getPacket())};
   return true;
 }
 
@@ -153,14 +157,15 @@
 }
 
 bool Read(generated::UpstreamReport::Reader in, PacketMessage& out) {
-  if (in.getState() > static_cast<uint8_t>(decision::UpstreamState::kGone)) {
+  if (in.getState() >
+      static_cast<uint8_t>(decision::flows::UpstreamState::kGone)) {
     return false;
   }
   out = UpstreamReport{
       .service = base::ServiceId{in.getService()},
       .data_centre = in.getDataCentre(),
       .run = in.getRun(),
-      .state = static_cast<decision::UpstreamState>(in.getState()),
+      .state = static_cast<decision::flows::UpstreamState>(in.getState()),
       .silent = in.getSilent(),
       .load = Read(in.getLoad()),
       .revision = in.getRevision(),
--- a/filberthollow/wire/packet_codec.h
+++ b/filberthollow/wire/packet_codec.h
@@ -10,17 +10,17 @@
 #include <string_view>
 #include <variant>
 
-#include "filberthollow/decision/packet_messages.h"
+#include "filberthollow/decision/flows/packet_messages.h"
 #include "filberthollow/wire/codec.h"
 
 namespace filberthollow::wire {
 
-using PacketMessage = std::variant<decision::Forward,
-                                   decision::Locate,
-                                   decision::Located,
-                                   decision::FlowAnswer,
-                                   decision::UpstreamReport,
-                                   decision::BalancerHello>;
+using PacketMessage = std::variant<decision::flows::Forward,
+                                   decision::flows::Locate,
+                                   decision::flows::Located,
+                                   decision::flows::FlowAnswer,
+                                   decision::flows::UpstreamReport,
+                                   decision::flows::BalancerHello>;
 
 // kMaxHelloBalancers is the maximum number of balancers in a BalancerHello, so
 // that it fits one datagram. The encoder truncates longer lists.
