--- a/filberthollow/wire/packet_codec_test.cc
+++ b/filberthollow/wire/packet_codec_test.cc
@@ -8,36 +8,39 @@
 namespace {
 
 constexpr flow::FlowEnds kFlow{{0x64400007, 40001}, {0xc6120001, 443}};
-constexpr decision::UpstreamLoad kLoad{.slots = 4,
-                                       .in_flight = 3,
-                                       .open_flows = 70,
-                                       .in_flight_mean = 250,
-                                       .cold_ms = 900};
+constexpr decision::load::UpstreamLoad kLoad{.slots = 4,
+                                             .in_flight = 3,
+                                             .open_flows = 70,
+                                             .in_flight_mean = 250,
+                                             .cold_ms = 900};
 
 std::vector<PacketMessage> Samples() {
-  return {decision::Forward{.revision = 9, .probe = true, .packet = "\0packet"},
-          decision::Locate{{{kFlow, 0xfffffff0}, {kFlow, 7}}},
-          decision::Located{{{kFlow, decision::Holding::kUnsure}},
-                            {.slots = 4, .in_flight = 2}},
-          decision::FlowAnswer{.flow = kFlow,
-                               .holding = decision::Holding::kRefused,
-                               .reason = flow::Reason::kUpstreamRefused,
-                               .load = kLoad,
-                               .packet = "handed back"},
-          decision::UpstreamReport{.service = base::ServiceId{7},
-                                   .data_centre = 8,
-                                   .run = 9,
-                                   .state = decision::UpstreamState::kDraining,
-                                   .silent = true,
-                                   .load = kLoad,
-                                   .revision = 11,
-                                   .interval = base::Millis(200),
-                                   .leaving = true},
-          decision::BalancerHello{.revision = 11,
-                                  .run = 12,
-                                  .leaving = true,
-                                  .balancers = {{1, 2}, {3, 4}},
-                                  .newcomer = {5, 6}}};
+  return {
+      decision::flows::Forward{
+          .revision = 9, .probe = true, .packet = "\0packet"},
+      decision::flows::Locate{{{kFlow, 0xfffffff0}, {kFlow, 7}}},
+      decision::flows::Located{{{kFlow, decision::flows::Holding::kUnsure}},
+                               {.slots = 4, .in_flight = 2}},
+      decision::flows::FlowAnswer{.flow = kFlow,
+                                  .holding = decision::flows::Holding::kRefused,
+                                  .reason = flow::Reason::kUpstreamRefused,
+                                  .load = kLoad,
+                                  .packet = "handed back"},
+      decision::flows::UpstreamReport{
+          .service = base::ServiceId{7},
+          .data_centre = 8,
+          .run = 9,
+          .state = decision::flows::UpstreamState::kDraining,
+          .silent = true,
+          .load = kLoad,
+          .revision = 11,
+          .interval = base::Millis(200),
+          .leaving = true},
+      decision::flows::BalancerHello{.revision = 11,
+                                     .run = 12,
+                                     .leaving = true,
+                                     .balancers = {{1, 2}, {3, 4}},
+                                     .newcomer = {5, 6}}};
 }
 
 BOOST_AUTO_TEST_CASE(PacketMessagesRoundTrip) {
@@ -49,11 +52,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(LongBalancerListIsTruncated) {
-  decision::BalancerHello hello;
+  decision::flows::BalancerHello hello;
   hello.balancers.resize(1000, {1, 2});
   auto read = DecodePacketMessage(EncodePacketMessage(hello));
   BOOST_REQUIRE(static_cast<bool>(read));
-  BOOST_TEST(std::get<decision::BalancerHello>(*read).balancers.size() ==
+  BOOST_TEST(std::get<decision::flows::BalancerHello>(*read).balancers.size() ==
              kMaxHelloBalancers);
 }
 
@@ -75,8 +78,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(RejectsAnUnknownEnumValue) {
-  auto refused = DecodePacketMessage(EncodePacketMessage(decision::FlowAnswer{
-      .flow = kFlow, .holding = static_cast<decision::Holding>(9)}));
+  auto refused =
+      DecodePacketMessage(EncodePacketMessage(decision::flows::FlowAnswer{
+          .flow = kFlow, .holding = static_cast<decision::flows::Holding>(9)}));
   BOOST_TEST(!refused);
 }
 
--- a/filberthollow/wire/peer_codec.h
+++ b/filberthollow/wire/peer_codec.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-#include "filberthollow/decision/member_record.h"
+#include "filberthollow/decision/membership/member_record.h"
 #include "filberthollow/platform/object_store.h"
 #include "filberthollow/wire/codec.h"
 
@@ -32,7 +32,7 @@
 struct Snapshot {
   uint64_t nonce = 0;
   std::vector<platform::StoredObject> objects;  // configuration without keys
-  std::vector<decision::MemberRecord> records;
+  std::vector<decision::membership::MemberRecord> records;
   // Keys encrypted with the join key; empty if not requested.
   std::string encrypted_keys;
   friend bool operator==(const Snapshot&, const Snapshot&) = default;
