Serve open flows without a configuration, and fetch it sooner

Balancers dropped every packet until they had routes, and failed calls backed off from 500 ms to 10 s, so that nothing ran from 36.0 to 38.6 s although every upstream held its flows; in a longer outage, for ten seconds. Change: a balancer without routes searches for open flows among all agents and serves them. New flows wait for the configuration in the first second and are reset afterwards. StoreRetry replaces the backoff of the watch; a peer that has a configuration is asked at once by a process that has none. Ruled out: placing new flows by observed holders, since a route moved before the restart would revert. Tests of flow_router_test and store_retry_test fail without the change.

--- a/filberthollow/config/agent_config_task.h
+++ b/filberthollow/config/agent_config_task.h
@@ -36,6 +36,7 @@
   void Handle(const NewerKeys& m);
   void Handle(const RefreshBalancers& m);
   void Handle(const PeerObjects& /*m*/) {}
+  void Handle(const FleetSizeChanged& /*m*/) {}
   void Handle(const admin::ReportQuery& m);
   // Reads the keys and publishes them. Retries until it succeeds.
   void ReadKeys();
--- a/filberthollow/config/config_messages.h
+++ b/filberthollow/config/config_messages.h
@@ -41,10 +41,18 @@
   friend bool operator==(const PeerObjects&, const PeerObjects&) = default;
 };
 
+// Reports the number of balancers, including this process if it is one.
+struct FleetSizeChanged {
+  size_t balancers = 1;
+  friend bool operator==(const FleetSizeChanged&,
+                         const FleetSizeChanged&) = default;
+};
+
 using ConfigMessage = std::variant<NewerRevision,
                                    NewerKeys,
                                    RefreshBalancers,
                                    PeerObjects,
+                                   FleetSizeChanged,
                                    admin::ReportQuery>;
 
 }  // namespace filberthollow::config
--- a/filberthollow/config/fleet_config_task.cc
+++ b/filberthollow/config/fleet_config_task.cc
@@ -19,7 +19,7 @@
       m_options(std::move(options)),
       m_store(m_options.store(m_client)),
       m_listeners(std::move(listeners)),
-      m_watch_backoff(kInitialRetryDelay, kMaxRetryDelay, m_options.seed),
+      m_watch_retry(m_options.store_reads_per_second, m_options.seed),
       m_bootstrap_backoff(kInitialRetryDelay,
                           kMaxRetryDelay,
                           m_options.seed + 1),
@@ -49,7 +49,9 @@
   // Usually the watch delivers the same change shortly afterwards, and the peer
   // need not be asked.
   m_peer_check_pending = true;
-  loop().After(m_options.peer_fetch_delay, [this, m] {
+  base::Millis delay =
+      HasConfiguration() ? m_options.peer_fetch_delay : base::Millis(0);
+  loop().After(delay, [this, m] {
     m_peer_check_pending = false;
     if (m.revision > m_state.revision()) {
       m_metrics.Add("config_behind_peer");
@@ -104,11 +106,12 @@
   if (!answer) {
     m_metrics.Add("platform_failures");
     SetReachable(false, answer.error().Text());
-    loop().After(m_watch_backoff.Next(), [this] { Watch(kWatchWait); });
+    loop().After(m_watch_retry.Next(HasConfiguration(), m_fleet_size),
+                 [this] { Watch(kWatchWait); });
     return;
   }
   SetReachable(true, "");
-  m_watch_backoff.Reset();
+  m_watch_retry.Reset();
   m_watched_revision = std::max(m_watched_revision, answer->revision);
   Publish(answer->complete
               ? m_state.ApplyFullState(answer->objects, answer->revision)
--- a/filberthollow/config/fleet_config_task.h
+++ b/filberthollow/config/fleet_config_task.h
@@ -5,7 +5,8 @@
 // a balancer it also writes the bootstrap entry.
 //
 // While the platform is unreachable, the last known configuration stays in use.
-// Failed calls are retried with jittered exponential backoff.
+// Failed calls are retried, soon if the process has no configuration yet; see
+// StoreRetry. Such a process also asks a peer that has one at once.
 #ifndef FILBERTHOLLOW_CONFIG_FLEET_CONFIG_TASK_H_
 #define FILBERTHOLLOW_CONFIG_FLEET_CONFIG_TASK_H_
 
@@ -20,6 +21,7 @@
 #include "filberthollow/config/config.h"
 #include "filberthollow/config/config_messages.h"
 #include "filberthollow/config/key_activation.h"
+#include "filberthollow/config/store_retry.h"
 #include "filberthollow/metrics/metrics.h"
 #include "filberthollow/net/http_client.h"
 #include "filberthollow/net/loop_task.h"
@@ -58,8 +60,11 @@
   // Whether to watch the configuration at the platform.
   bool watch_store = true;
   // How long to wait for the watch to deliver a newer revision that a peer has,
-  // before ConfigListeners::on_newer_peer is called.
+  // before ConfigListeners::on_newer_peer is called. Does not apply while this
+  // process has no configuration.
   base::Millis peer_fetch_delay{1500};
+  // The rate of reads that the store grants to the whole fleet.
+  uint32_t store_reads_per_second = 2000;
   SnapshotReader read_snapshot = &settings::ParseSnapshot;
   uint64_t seed = 0;  // of the jitter of retries
 };
@@ -69,7 +74,8 @@
   // How long the platform may hold back the answer to a watch while there is no
   // change (long polling).
   static constexpr base::Millis kWatchWait{30'000};
-  // Limits of the exponential backoff of failed calls to the platform.
+  // Limits of the exponential backoff of failed calls for the bootstrap
+  // entries.
   static constexpr base::Millis kInitialRetryDelay{500};
   static constexpr base::Millis kMaxRetryDelay{10'000};
 
@@ -87,8 +93,11 @@
   void Handle(const NewerKeys& /*m*/) {}
   void Handle(const RefreshBalancers& m);
   void Handle(const PeerObjects& m);
+  void Handle(const FleetSizeChanged& m) { m_fleet_size = m.balancers; }
   void Handle(const admin::ReportQuery& m);
 
+  // Returns whether any configuration is in force.
+  bool HasConfiguration() const { return m_state.revision() > 0; }
   // Logs that a peer has a newer configuration, once per revision.
   void LogNewerPeer(const NewerRevision& m);
   // Asks the platform for changes. It answers at the first change, or after
@@ -114,12 +123,13 @@
   const FleetConfigOptions m_options;
   const std::unique_ptr<platform::ObjectStore> m_store;
   const ConfigListeners m_listeners;
-  Backoff m_watch_backoff;
+  StoreRetry m_watch_retry;
   Backoff m_bootstrap_backoff;
   ConfigState m_state;
   KeyActivationTimer m_activation;
   // Revision up to which the watch has delivered all changes.
   uint64_t m_watched_revision = 0;
+  size_t m_fleet_size = 1;
   // Newest revision of a peer that was logged.
   uint64_t m_logged_peer_revision = 0;
   // Whether the last watch succeeded. Stays true in a process that does not
--- /dev/null
+++ b/filberthollow/config/store_retry.cc
@@ -0,0 +1,27 @@
+#include "filberthollow/config/store_retry.h"
+
+#include <algorithm>
+
+namespace filberthollow::config {
+namespace {
+
+constexpr uint64_t kMillisPerSecond = 1000;
+constexpr uint64_t kPercent = 100;
+
+}  // namespace
+
+StoreRetry::StoreRetry(uint32_t reads_per_second, uint64_t seed)
+    : m_reads_per_second(std::max<uint64_t>(reads_per_second, 1)),
+      m_random(seed) {}
+
+base::Millis StoreRetry::Next(bool has_configuration, size_t fleet_size) {
+  base::Millis delay = has_configuration ? m_delay : kUnconfiguredDelay;
+  m_delay = std::min(m_delay * 2, kMaxDelay);
+  base::Millis fleet_delay(fleet_size * kMillisPerSecond * kPercent /
+                           (m_reads_per_second * kMaxReadPercent));
+  int64_t longest = std::max(delay, fleet_delay).count();
+  return base::Millis(
+      std::uniform_int_distribution<int64_t>(longest / 2, longest)(m_random));
+}
+
+}  // namespace filberthollow::config
--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -63,10 +63,13 @@
 }
 
 bool FlowRouter::IsReady(base::Millis now) const {
-  return m_routes->revision() > 0 && !m_isolated &&
-         std::any_of(m_agents.begin(), m_agents.end(), [&](const auto& entry) {
-           return !IsSilent(entry.second, now);
-         });
+  bool hears_agent = false;
+  bool agent_has_routes = false;
+  for (const auto& [address, agent] : m_agents) {
+    hears_agent = hears_agent || !IsSilent(agent, now);
+    agent_has_routes = agent_has_routes || agent.report.revision > 0;
+  }
+  return hears_agent && !m_isolated && (HasRoutes() || !agent_has_routes);
 }
 
 std::vector<base::Address> FlowRouter::Agents() const {
@@ -93,10 +96,6 @@
                                 const PacketHeader& header,
                                 base::Millis now,
                                 RouterActions& actions) {
-  if (m_routes->revision() == 0) {
-    actions.emplace_back(DropPacket{Reason::kNotReady});
-    return;
-  }
   if (header.AsksToOpen()) {
     OnOpening(packet, header, now, actions);
   } else {
@@ -110,7 +109,7 @@
                            RouterActions& actions) {
   FlowEnds ends = header.FromCaller();
   const CompiledRoute* route = m_routes->Find(ends.route);
-  if (route == nullptr) {
+  if (HasRoutes() && route == nullptr) {
     actions.emplace_back(ResetCaller{ends, 0, Reason::kNoRoute});
     return;
   }
@@ -124,36 +123,50 @@
   if (m_offers.contains(ends)) {
     return;  // a duplicate: the pending offer decides
   }
-  Offer offer{.packet = std::string(packet),
-              .service = route->ServiceFor(ends),
-              .received_at = now};
+  Offer offer{.packet = std::string(packet), .received_at = now};
   if (OfferNext(ends, offer, now, actions)) {
     m_offers.emplace(ends, std::move(offer));
   }
 }
 
-bool FlowRouter::OfferNext(const FlowEnds& ends,
-                           Offer& offer,
-                           base::Millis now,
-                           RouterActions& actions) {
+std::vector<load::UpstreamCandidate> FlowRouter::CandidatesFor(
+    base::ServiceId service,
+    const Offer& offer,
+    base::Millis now) const {
   std::vector<load::UpstreamCandidate> candidates;
   for (const auto& [address, agent] : m_agents) {
     bool tried = std::find(offer.tried.begin(), offer.tried.end(), address) !=
                  offer.tried.end();
-    if (agent.report.service == offer.service && !tried &&
+    if (agent.report.service == service && !tried &&
         AcceptsNewFlows(agent, now)) {
       candidates.push_back({address, agent.report.data_centre,
                             agent.report.load, agent.placed_since_load});
     }
   }
-  std::optional<size_t> best =
-      offer.tried.size() < kMaxOffers
-          ? load::ChooseUpstream(candidates, m_data_centre,
-                                 flow::FlowEndsHash{}(ends))
-          : std::nullopt;
-  if (!best && offer.tried.empty() && now - m_started < kDiscoveryPeriod) {
-    offer.sent_at = now;
-    offer.agent = {};
+  return candidates;
+}
+
+bool FlowRouter::OfferNext(const FlowEnds& ends,
+                           Offer& offer,
+                           base::Millis now,
+                           RouterActions& actions) {
+  bool may_wait = offer.tried.empty() && now - m_started < kDiscoveryPeriod;
+  if (!HasRoutes() && may_wait) {
+    return true;
+  }
+  const CompiledRoute* route = m_routes->Find(ends.route);
+  if (route == nullptr && !offer.any_unanswered) {
+    actions.emplace_back(ResetCaller{
+        ends, 0, HasRoutes() ? Reason::kNoRoute : Reason::kNotReady});
+    return false;
+  }
+  std::vector<load::UpstreamCandidate> candidates;
+  if (route != nullptr && offer.tried.size() < kMaxOffers) {
+    candidates = CandidatesFor(route->ServiceFor(ends), offer, now);
+  }
+  std::optional<size_t> best = load::ChooseUpstream(candidates, m_data_centre,
+                                                    flow::FlowEndsHash{}(ends));
+  if (!best && may_wait) {
     return true;
   }
   if (!best) {
@@ -189,7 +202,7 @@
                               RouterActions& actions) {
   FlowEnds ends = header.FromCaller();
   const CompiledRoute* route = m_routes->Find(ends.route);
-  if (route == nullptr) {
+  if (HasRoutes() && route == nullptr) {
     // The route was removed from the configuration, which ends its flows.
     m_known_flows.erase(ends);
     actions.emplace_back(
@@ -203,7 +216,8 @@
     return;
   }
   known->second.last_used = now;
-  if (HasLostFlows(known->second.agent, now) && route->idempotent &&
+  bool idempotent = route != nullptr && route->idempotent;
+  if (HasLostFlows(known->second.agent, now) && idempotent &&
       header.data_bytes > 0) {
     // After a reset the caller repeats idempotent requests elsewhere. Search
     // first, since another upstream may have accepted the flow, too, and be the
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -10,6 +10,12 @@
 // probes, which show whether its upstream holds the flow. The router resets a
 // flow only if no upstream can hold it.
 //
+// Without a configuration, as after a restart during an outage of its store,
+// open flows are searched for and served like others: the upstream that holds a
+// flow accepted it under a configuration. New flows wait for the configuration
+// during the discovery period and are reset afterwards, since only the
+// configuration tells which service may get them.
+//
 //   RouterActions actions;
 //   router.OnCallerPacket(bytes, header, now, actions);
 //   for (const RouterAction& action : actions) { ... }
@@ -186,8 +192,9 @@
     return m_offers.empty() && m_searches.empty() ? kIdleTick : kBusyTick;
   }
 
-  // Returns whether this balancer can serve callers: it has routes, hears at
-  // least one agent and is not isolated.
+  // Returns whether this balancer can serve callers as well as any other: it
+  // hears at least one agent, is not isolated, and has routes, unless no agent
+  // has any either.
   bool IsReady(base::Millis now) const;
   // Returns the known agents.
   std::vector<base::Address> Agents() const;
@@ -208,7 +215,6 @@
   };
   struct Offer {
     std::string packet;
-    base::ServiceId service{};
     base::Address agent;  // has the current offer; empty before the first
     base::Millis sent_at;
     base::Millis received_at;  // when the caller's packet arrived
@@ -241,9 +247,14 @@
                  const flow::PacketHeader& header,
                  base::Millis now,
                  RouterActions& actions);
+  bool HasRoutes() const { return m_routes->revision() > 0; }
+  // Returns the upstreams of the service that may be offered the flow.
+  std::vector<load::UpstreamCandidate> CandidatesFor(base::ServiceId service,
+                                                     const Offer& offer,
+                                                     base::Millis now) const;
   // Offers the flow to the next upstream. If none is left, resets the flow, or
   // drops the packet if an upstream may have accepted it. Returns whether an
-  // offer is pending or waits for the first agent.
+  // offer is pending or waits for the configuration or for the first agent.
   bool OfferNext(const flow::FlowEnds& ends,
                  Offer& offer,
                  base::Millis now,
--- a/filberthollow/decision/flows/flow_router_test.cc
+++ b/filberthollow/decision/flows/flow_router_test.cc
@@ -563,5 +563,72 @@
   BOOST_TEST(!router.IsReady(now));
 }
 
+// A balancer that has restarted while the store of the configuration is away.
+struct Unconfigured : Fixture {
+  Unconfigured() { router.SetRoutes(std::make_shared<RouteTable>()); }
+};
+
+// Guards against a fleet that restarted during an outage of the store and
+// served nothing until its end, though every upstream still held its flows.
+BOOST_FIXTURE_TEST_CASE(OpenFlowIsServedWithoutConfiguration, Unconfigured) {
+  WaitForDiscovery({kFirstAgent, kSecondAgent});
+  BOOST_TEST(router.IsReady(now));
+  RouterActions asked = FromCaller(Data(101, 500));
+  BOOST_TEST(ActionsOfType<SendLocate>(asked).size() == 2U);
+  auto sent = ActionsOfType<SendForward>(Answer(kSecondAgent, Holding::kHeld));
+  BOOST_REQUIRE(sent.size() == 1U);
+  BOOST_TEST((sent[0].agent == kSecondAgent));
+  sent = ActionsOfType<SendForward>(FromCaller(Data(601, 500)));
+  BOOST_TEST(sent.size() == 1U);
+}
+
+// Whether the requests of a flow may be repeated is not known then, so its flow
+// is not given up while an agent is only silent.
+BOOST_FIXTURE_TEST_CASE(FlowOfSilentAgentIsNotResetWithoutConfiguration,
+                        Unconfigured) {
+  WaitForDiscovery({kFirstAgent});
+  FromCaller(Data(101, 500));
+  Answer(kFirstAgent, Holding::kHeld);
+  AdvanceTime(FlowRouter::kMinSilence + kStep, {kSecondAgent});
+  RouterActions end = FromCaller(Data(601, 500));
+  BOOST_TEST(ActionsOfType<ResetCaller>(end).empty());
+  BOOST_TEST(ActionsOfType<SendForward>(end).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(NewFlowWaitsForConfigurationDuringDiscovery,
+                        Unconfigured) {
+  Report(kFirstAgent);
+  BOOST_TEST(FromCaller(Opening()).empty());
+  router.SetRoutes(testing::TwoRoutes(5));
+  auto sent = ActionsOfType<SendForward>(AdvanceTime(kStep, {kFirstAgent}));
+  BOOST_REQUIRE(sent.size() == 1U);
+  BOOST_TEST((sent[0].agent == kFirstAgent));
+}
+
+BOOST_FIXTURE_TEST_CASE(NewFlowWithoutConfigurationIsResetAfterDiscovery,
+                        Unconfigured) {
+  Report(kFirstAgent);
+  FromCaller(Opening());
+  auto resets = ActionsOfType<ResetCaller>(
+      AdvanceTime(FlowRouter::kDiscoveryPeriod + kStep, {kFirstAgent}));
+  BOOST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST((resets[0].reason == Reason::kNotReady));
+  BOOST_TEST(ActionsOfType<ResetCaller>(FromCaller(Opening())).size() == 1U);
+}
+
+// Another balancer may have the configuration that the agent has; callers are
+// better off there.
+BOOST_FIXTURE_TEST_CASE(BalancerWithoutRoutesIsNotReadyIfAnAgentHasRoutes,
+                        Unconfigured) {
+  router.OnReport({.service = testing::kDesk,
+                   .state = UpstreamState::kReady,
+                   .revision = 5,
+                   .interval = Millis(200)},
+                  kFirstAgent, now);
+  BOOST_TEST(!router.IsReady(now));
+  router.SetRoutes(testing::TwoRoutes(5));
+  BOOST_TEST(router.IsReady(now));
+}
+
 }  // namespace
 }  // namespace filberthollow::decision::flows
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -225,12 +225,22 @@
   loop().After(interval, [this] { OnHelloTimer(); });
   m_balancers.Forget(Now());
   m_balancers.AdvanceAdvertised(Now());
+  PostFleetSize();
   std::erase_if(m_agent_hello_at, [this](const auto& entry) {
     return Now() - entry.second > decision::flows::FlowRouter::kAgentExpiry;
   });
   SendHelloToBalancers();
 }
 
+void BalancerTask::PostFleetSize() {
+  size_t size = m_balancers.size() + 1;  // with this balancer
+  if (size != m_posted_fleet_size) {
+    m_posted_fleet_size = size;
+    Post(config::kConfigService,
+         config::ConfigMessage(config::FleetSizeChanged{size}));
+  }
+}
+
 void BalancerTask::SendHelloToBalancers() {
   for (const auto& group :
        {m_balancers.Live(Now()), m_balancers.Silent(Now())}) {
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -84,6 +84,8 @@
   // Sends a hello to every known balancer and schedules the next one. Also
   // drops peers that have been silent for too long.
   void OnHelloTimer();
+  // Tells the config service the number of balancers, if it has changed.
+  void PostFleetSize();
   // Sends a hello to `to`. `newcomer`, if set, is a balancer that has just
   // started; an agent that receives the hello reports to it immediately.
   void SendHello(base::Address to, base::Address newcomer = {});
@@ -106,6 +108,7 @@
   std::map<base::Address, base::Millis> m_agent_hello_at;
   // Random number by which peers recognize a restart of this balancer.
   const uint64_t m_run = std::random_device{}();
+  size_t m_posted_fleet_size = 0;
   bool m_ready = false;
 };
 
--- a/filberthollow/passthrough/node_process.cc
+++ b/filberthollow/passthrough/node_process.cc
@@ -145,12 +145,14 @@
                                .control = settings.peers,
                                .admin = settings.metrics,
                                .callers = settings.callers};
-  return RunServices(kernel, clock, settings, adapter,
-                     {.store = adapter.store,
-                      .bootstrap_entry = entry,
-                      .peer_fetch_delay = kBalancerConfigFetchDelay,
-                      .read_snapshot = adapter.read_snapshot,
-                      .seed = std::random_device{}()});
+  return RunServices(
+      kernel, clock, settings, adapter,
+      {.store = adapter.store,
+       .bootstrap_entry = entry,
+       .peer_fetch_delay = kBalancerConfigFetchDelay,
+       .store_reads_per_second = settings.platform_reads_per_second,
+       .read_snapshot = adapter.read_snapshot,
+       .seed = std::random_device{}()});
 }
 
 int RunAgent(const settings::NodeSettings& settings,
--- a/filberthollow/platform/node_settings.cc
+++ b/filberthollow/platform/node_settings.cc
@@ -99,6 +99,21 @@
     return base::Millis(ms);
   }
 
+  // Parses a positive whole number.
+  uint32_t Count(std::string_view name, uint32_t fallback) {
+    std::string text = Text(name);
+    uint32_t count = 0;
+    if (text.empty()) {
+      return fallback;
+    }
+    auto [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), count);
+    if (error != std::errc{} || count == 0) {
+      RecordError(name, text, "a positive number");
+    }
+    return count;
+  }
+
   // Records an error unless there is one already.
   void RecordError(std::string_view name,
                    const std::string& found,
@@ -156,6 +171,7 @@
   constexpr base::Millis kDefaultStopGrace{6000};
   constexpr base::Millis kDefaultHeartbeatInterval{1000};
   constexpr base::Millis kDefaultFlowLifetime{60'000};
+  constexpr uint32_t kDefaultReadsPerSecond = 2000;
   SettingsFields fields(text, source);
   uint16_t peer_port = PeerPort(fields);
   base::Address packets = fields.RequiredAddress("listenAddresses.packets");
@@ -166,6 +182,8 @@
       .readiness = fields.RequiredAddress("listenAddresses.ready"),
       .metrics = {packets.ip, kMetricsPort},
       .platform = fields.RequiredAddress("platform.address"),
+      .platform_reads_per_second =
+          fields.Count("platform.readsPerS", kDefaultReadsPerSecond),
       .seeds = PeerSeeds(fields, peer_port),
       .first_start = fields.Text("bootstrap") == "true",
       .stop_grace = fields.Seconds("bounds.graceS", kDefaultStopGrace),
--- a/filberthollow/settings/node_settings.h
+++ b/filberthollow/settings/node_settings.h
@@ -3,6 +3,7 @@
 #ifndef FILBERTHOLLOW_SETTINGS_NODE_SETTINGS_H_
 #define FILBERTHOLLOW_SETTINGS_NODE_SETTINGS_H_
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
   base::Address metrics;
   // Address of the platform's object API.
   base::Address platform;
+  // The rate of reads that the platform's object API grants to the whole fleet.
+  uint32_t platform_reads_per_second = 2000;
   // Peer addresses of some balancers, which may be outdated.
   std::vector<base::Address> seeds;
   // The whole system is starting for the first time.
--- a/tools/days.py
+++ b/tools/days.py
@@ -82,6 +82,19 @@
     ("reset-connections", "faults", "reset_conns", "share = 1.0, x = 1.0"),
 ]
 
+# Kinds that change the load, or how well upstreams serve it.
+LOAD_KINDS = [
+    ("burst", "faults", "burst", "x = 1.7, for_s = 5.0"),
+    ("burst-over-capacity", "faults", "burst", "x = 3.0, for_s = 5.0"),
+    ("burst-of-one-kind", "faults", "burst", 'x = 4.0, for_s = 5.0, class = "@c0"'),
+    ("shift", "faults", "shift", "share = 0.7, for_s = 6.0"),
+    ("grey-upstreams", "faults", "srv_grey", "share = 0.3, x = 0.5, for_s = 6.0"),
+    ("lying-health", "faults", "srv_lying_health", "share = 0.3, for_s = 6.0"),
+    ("flapping-upstreams", "faults", "srv_flap", "share = 0.3, for_s = 8.0"),
+    ("lossy-links", "faults", "lossy", "share = 0.4, x = 0.05, for_s = 6.0"),
+]
+LOAD_PAIRS = 12
+
 
 # Returns the TOML line of a kind at a time, in seconds.
 def entry_text(kind, at):
@@ -98,19 +111,31 @@
     return "\n".join(lines) + "\n"
 
 
+def pair_of_days(generator, first_kinds, second_kinds):
+    """Draws two kinds; returns the name and the text of the day of that pair."""
+    if first_kinds is second_kinds:
+        first, second = generator.sample(first_kinds, 2)
+    else:
+        first, second = generator.choice(first_kinds), generator.choice(second_kinds)
+    name = f"pair-{first[0]}-and-{second[0]}"
+    return name, day_text(name, f"{first[2]} and {second[2]} at the same second.",
+                          [(kind, at) for at in PAIR_AT for kind in (first, second)])
+
+
 def all_days():
     """Returns the text of each day by its file name without the suffix."""
     days = {}
-    for kind in KINDS:
+    for kind in KINDS + LOAD_KINDS:
         name = f"single-{kind[0]}"
         days[name] = day_text(name, f"{kind[2]} alone, then twice.",
                               [(kind, at) for at in (FIRST_AT, *REPEATED_AT)])
     generator = random.Random(PAIR_SEED)
-    while sum(name.startswith("pair-") for name in days) < PAIRS:
-        first, second = generator.sample(KINDS, 2)
-        name = f"pair-{first[0]}-and-{second[0]}"
-        days[name] = day_text(name, f"{first[2]} and {second[2]} at the same second.",
-                              [(kind, at) for at in PAIR_AT for kind in (first, second)])
+    pairs = {}
+    while len(pairs) < PAIRS:
+        pairs.update([pair_of_days(generator, KINDS, KINDS)])
+    while len(pairs) < PAIRS + LOAD_PAIRS:
+        pairs.update([pair_of_days(generator, LOAD_KINDS, KINDS)])
+    days.update(pairs)
     return days
 
 
