Settle searches whose agents are gone, silent or swamped by probes

The new log line flow_not_found shows which agent was undecided. Four reasons: - The agent of a removed upstream starts with the host and is stopped again before it knows that it has none; its last report said that an upstream keeps its flows. It now waits until it knows (2.04 s after its start at most). - In a fleet of 58 an agent reports every 0.9 s, so its silence showed after 2.7 s. An unanswered question now shows it after 0.7 s. - An agent that had answered "unsure" and was gone since counted as unsure. - Outcomes of probes counted against the limit of pending probes, so that an agent with more than 2,048 probes in 5 s stayed unsure.

--- a/filberthollow/decision/flows/flow_guesses.cc
+++ b/filberthollow/decision/flows/flow_guesses.cc
@@ -7,9 +7,18 @@
 void FlowProbes::Begin(const flow::FlowEnds& flow,
                        FlowProbe probe,
                        base::Millis now) {
-  if (m_entries.size() < kMaxProbes || m_entries.contains(flow)) {
-    m_entries[flow] = {.probe = std::move(probe), .at = now};
+  auto found = m_entries.find(flow);
+  bool replaces_pending =
+      found != m_entries.end() && !found->second.bounced_back;
+  if (!replaces_pending) {
+    bool full = m_pending >= kMaxPendingProbes ||
+                m_entries.size() >= kMaxPendingProbes + kMaxOutcomes;
+    if (full) {
+      return;
+    }
+    ++m_pending;
   }
+  m_entries[flow] = {.probe = std::move(probe), .at = now};
 }
 
 std::optional<FlowProbe> FlowProbes::RecordBounce(const flow::FlowEnds& flow,
@@ -20,6 +29,7 @@
   }
   found->second.bounced_back = true;
   found->second.at = now;
+  --m_pending;
   return std::exchange(found->second.probe, {});
 }
 
@@ -30,8 +40,11 @@
   }
   Entry entry = std::move(found->second);
   m_entries.erase(found);
-  return entry.bounced_back ? std::nullopt
-                            : std::optional(std::move(entry.probe));
+  if (entry.bounced_back) {
+    return std::nullopt;
+  }
+  --m_pending;
+  return std::move(entry.probe);
 }
 
 bool FlowProbes::IsKnownNotHeld(const flow::FlowEnds& flow) const {
@@ -40,8 +53,10 @@
 }
 
 void FlowProbes::DropExpired(base::Millis now) {
-  std::erase_if(m_entries, [now](const auto& entry) {
-    return now - entry.second.at > kRetention;
+  std::erase_if(m_entries, [this, now](const auto& entry) {
+    bool expired = now - entry.second.at > kRetention;
+    m_pending -= expired && !entry.second.bounced_back ? 1 : 0;
+    return expired;
   });
 }
 
--- a/filberthollow/decision/flows/flow_guesses.h
+++ b/filberthollow/decision/flows/flow_guesses.h
@@ -42,9 +42,11 @@
   // How long a probe and its outcome are kept. Callers and upstreams retransmit
   // packets up to 1.6 s apart. A flow whose probe has expired is probed again.
   static constexpr base::Millis kRetention{5000};
-  // Limits memory use, at 1.2 KB per probe. Beyond this, probes are delivered
-  // but not recorded, so their outcome is not reported.
-  static constexpr size_t kMaxProbes = 2048;
+  // Limits memory use, at 1.2 KB per probe without an outcome and 0.1 KB per
+  // outcome. Beyond this, probes are delivered but not recorded, so their
+  // outcome is not reported and their flows are probed again.
+  static constexpr size_t kMaxPendingProbes = 2048;
+  static constexpr size_t kMaxOutcomes = 32'768;
 
   // Records that a packet of the flow is delivered as a probe. Replaces an
   // earlier probe of the flow.
@@ -71,6 +73,7 @@
   };
 
   std::unordered_map<flow::FlowEnds, Entry, flow::FlowEndsHash> m_entries;
+  size_t m_pending = 0;  // entries that are not bounced back
 };
 
 }  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -21,6 +21,7 @@
   base::Millis patience =
       std::max(kMinSilence, agent.report.interval * kMaxMissedReports);
   return now - agent.heard_at > patience ||
+         now - agent.asked_at > kMinSilence ||
          (m_isolated && !WasHeardRecently(agent, now));
 }
 
@@ -278,6 +279,7 @@
                           base::Millis now) {
   if (auto known = m_agents.find(agent); known != m_agents.end()) {
     known->second.heard_at = now;
+    known->second.asked_at = base::kNever;
     known->second.report.load = load;
     known->second.load_reported_at = now;
     known->second.placed_since_load = 0;
@@ -334,6 +336,9 @@
     // were silent.
     for (auto& [address, agent] : m_agents) {
       agent.heard_at = agent.heard_at + gap;
+      if (agent.asked_at != base::kNever) {
+        agent.asked_at = agent.asked_at + gap;
+      }
     }
     return;
   }
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -80,6 +80,19 @@
   base::Millis took;  // time since the search started
   friend bool operator==(const FlowFound&, const FlowFound&) = default;
 };
+// FlowNotFound: a search has ended without finding the flow's agent.
+struct FlowNotFound {
+  flow::FlowEnds flow;
+  bool reset = false;  // the flow is lost, and the caller was told so
+  size_t agents_asked = 0;
+  // Agents that have not answered, and those that don't know.
+  size_t agents_unanswered = 0;
+  size_t agents_unsure = 0;
+  // One of those that don't know, or else that have not answered.
+  base::Address undecided_agent;
+  base::Millis took;  // time since the search started
+  friend bool operator==(const FlowNotFound&, const FlowNotFound&) = default;
+};
 // AgentSilence: messages of an agent are overdue, or arrive again.
 struct AgentSilence {
   base::Address agent;
@@ -96,6 +109,7 @@
                                   OfferMade,
                                   OfferAccepted,
                                   FlowFound,
+                                  FlowNotFound,
                                   AgentSilence>;
 using RouterActions = std::vector<RouterAction>;
 
@@ -125,8 +139,10 @@
   // kMaxKnownFlows limits the memory of the cache: 100 bytes per flow.
   static constexpr size_t kMaxKnownFlows = 100'000;
   // An agent counts as silent if it was not heard for kMaxMissedReports report
-  // intervals and for at least kMinSilence. One lost report or a short stall of
-  // its host is not a failure.
+  // intervals and for at least kMinSilence, or has answered no question for
+  // kMinSilence. One lost report or a short stall of its host is not a failure.
+  // In a large fleet the report interval is long, and an unanswered question
+  // shows a failure much earlier.
   static constexpr int64_t kMaxMissedReports = 3;
   static constexpr base::Millis kMinSilence{700};
   // The balancer considers itself isolated (cut off from the network) if, of
@@ -204,6 +220,8 @@
   struct Agent {
     UpstreamReport report;
     base::Millis heard_at;
+    // When the first question since `heard_at` was sent, or kNever.
+    base::Millis asked_at{base::kNever};
     uint32_t placed_since_load = 0;  // flows placed by this balancer
     bool offer_unanswered = false;   // an offer timed out since the last report
     base::Millis load_reported_at;
@@ -238,7 +256,9 @@
     std::optional<uint64_t> agents_added_when_all_asked;
     std::map<base::Address, AgentAnswer> asked;
 
-    bool IsAnyUnsure() const;
+    size_t CountUnsure() const;
+    size_t CountUnanswered() const;
+    base::Address UndecidedAgent() const;
   };
   template <class Value>
   using ByFlow = std::unordered_map<flow::FlowEnds, Value, flow::FlowEndsHash>;
--- a/filberthollow/decision/flows/flow_router_searches.cc
+++ b/filberthollow/decision/flows/flow_router_searches.cc
@@ -11,12 +11,30 @@
 using flow::PacketHeader;
 using flow::Reason;
 
-bool FlowRouter::Search::IsAnyUnsure() const {
-  return std::any_of(asked.begin(), asked.end(), [](const auto& entry) {
+size_t FlowRouter::Search::CountUnsure() const {
+  return std::count_if(asked.begin(), asked.end(), [](const auto& entry) {
     return entry.second.holding == Holding::kUnsure;
   });
 }
 
+size_t FlowRouter::Search::CountUnanswered() const {
+  return std::count_if(asked.begin(), asked.end(),
+                       [](const auto& entry) { return !entry.second.holding; });
+}
+
+base::Address FlowRouter::Search::UndecidedAgent() const {
+  base::Address undecided;
+  for (const auto& [address, answer] : asked) {
+    if (answer.holding == Holding::kUnsure) {
+      return address;
+    }
+    if (!answer.holding) {
+      undecided = address;
+    }
+  }
+  return undecided;
+}
+
 void FlowRouter::StartSearch(std::string_view packet,
                              const PacketHeader& header,
                              base::Millis now,
@@ -131,6 +149,9 @@
 
 void FlowRouter::SendQuestions(base::Millis now, RouterActions& actions) {
   for (SendLocate& send : m_questions.Take(now)) {
+    if (auto agent = m_agents.find(send.agent); agent != m_agents.end()) {
+      agent->second.asked_at = std::min(agent->second.asked_at, now);
+    }
     actions.emplace_back(std::move(send));
   }
 }
@@ -200,7 +221,7 @@
       ForwardProbes(search, now, actions)) {
     return false;
   }
-  if (search.IsAnyUnsure()) {
+  if (search.CountUnsure() > 0) {
     return now - search.asked_at >= kSearchTimeout;
   }
   return KnowsAllAgents(now);
@@ -211,16 +232,27 @@
                                 base::Millis now,
                                 RouterActions& actions) {
   bool complete = !search.asked.empty();
-  bool rest_lost = complete;  // agents without an answer have lost their flows
+  bool rest_lost = complete;  // agents that don't know have lost their flows
   for (const auto& [address, asked] : search.asked) {
-    bool has_answered = asked.holding || HasNoUpstream(address);
-    complete = complete && has_answered;
-    rest_lost = rest_lost && (has_answered || HasLostFlows(address, now));
+    bool holds_none = asked.holding == Holding::kNotHeld ||
+                      asked.holding == Holding::kRefused ||
+                      HasNoUpstream(address);
+    complete = complete && holds_none;
+    rest_lost = rest_lost && (holds_none || HasLostFlows(address, now));
   }
   const CompiledRoute* route = m_routes->Find(ends.route);
   bool idempotent = route != nullptr && route->idempotent;
-  bool lost = !search.IsAnyUnsure() && (complete || (rest_lost && idempotent));
-  if (lost && search.has_data) {
+  bool lost = complete || (rest_lost && idempotent);
+  bool reset = lost && search.has_data;
+  actions.emplace_back(
+      FlowNotFound{.flow = ends,
+                   .reset = reset,
+                   .agents_asked = search.asked.size(),
+                   .agents_unanswered = search.CountUnanswered(),
+                   .agents_unsure = search.CountUnsure(),
+                   .undecided_agent = search.UndecidedAgent(),
+                   .took = now - search.started_at});
+  if (reset) {
     actions.emplace_back(
         ResetCaller{ends, search.acknowledged,
                     complete ? Reason::kNoSuchFlow : Reason::kFlowLost});
--- a/filberthollow/decision/flows/flow_router_test.cc
+++ b/filberthollow/decision/flows/flow_router_test.cc
@@ -472,6 +472,57 @@
   BOOST_TEST(ActionsOfType<ResetCaller>(end).empty());
 }
 
+// In a large fleet agents report rarely. Guards against callers that waited for
+// three report intervals to be told that their flow was lost.
+BOOST_FIXTURE_TEST_CASE(UnansweredQuestionShowsThatAgentIsSilent,
+                        IdempotentFlow) {
+  constexpr Millis kLongInterval{5000};
+  for (Address agent : {kFirstAgent, kSecondAgent}) {
+    router.OnReport({.service = testing::kMaps,
+                     .state = UpstreamState::kReady,
+                     .interval = kLongInterval},
+                    agent, now);
+  }
+  AdvanceTime(kLongInterval * FlowRouter::kDiscoveryReports + kStep,
+              {kThirdAgent});
+  data.source.port = 1;
+  FromCaller(data);
+  router.OnAnswer({.flow = data.FromCaller(), .holding = Holding::kNotHeld}, {},
+                  kFirstAgent, now, actions);
+  AdvanceTime(FlowRouter::kMinSilence + kStep * 2, {kThirdAgent});
+  FromCaller(data);
+  router.OnAnswer({.flow = data.FromCaller(), .holding = Holding::kNotHeld}, {},
+                  kFirstAgent, now, actions);
+  router.OnAnswer({.flow = data.FromCaller(), .holding = Holding::kNotHeld}, {},
+                  kThirdAgent, now, actions);
+  auto resets = ActionsOfType<ResetCaller>(
+      AdvanceTime(FlowRouter::kSearchTimeout * 3, {kFirstAgent, kThirdAgent}));
+  BOOST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST((resets[0].reason == Reason::kFlowLost));
+}
+
+// Guards against an agent that had answered "unsure", then lost its upstream or
+// was lost itself: no caller was told that its flow was gone.
+BOOST_FIXTURE_TEST_CASE(UnsureAgentThatIsGoneDoesNotKeepSearchesUndecided,
+                        IdempotentFlow) {
+  WaitForDiscovery({kFirstAgent, kSecondAgent});
+  data.source.port = 1;
+  FromCaller(data);
+  for (Address agent : {kFirstAgent, kSecondAgent}) {
+    router.OnLocated({.flows = {{data.FromCaller(), agent == kFirstAgent
+                                                        ? Holding::kNotHeld
+                                                        : Holding::kUnsure}}},
+                     agent, now, actions);
+  }
+  router.OnReport({.service = testing::kMaps,
+                   .state = UpstreamState::kGone,
+                   .interval = Millis(200)},
+                  kSecondAgent, now);
+  auto resets = ActionsOfType<ResetCaller>(
+      AdvanceTime(FlowRouter::kSearchTimeout * 2, {kFirstAgent}));
+  BOOST_TEST(resets.size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(PausedBalancerDoesNotResetFlows, IdempotentFlow) {
   now = now + Millis(4000);
   router.OnTick(now, actions);
--- a/filberthollow/decision/flows/upstream_gate.h
+++ b/filberthollow/decision/flows/upstream_gate.h
@@ -126,6 +126,14 @@
 
   // Returns the report for the balancers. The sender must set its `interval`.
   UpstreamReport Report(base::Millis now) const;
+  // Returns whether it is known if there is an upstream: it has sent a
+  // heartbeat to this agent, or should have by now. An agent must not stop
+  // before that: balancers would take it that an upstream still holds flows
+  // there, and not tell callers that their flows are lost.
+  bool KnowsWhetherUpstreamRuns(base::Millis now) const {
+    return m_liveness.state() != UpstreamState::kUnknown ||
+           m_liveness.IsAbsent(now);
+  }
   // Returns whether no request is in flight or queued and no offer is pending.
   // An offer that was answered still counts as pending until the next tick.
   bool IsIdle() const {
--- a/filberthollow/decision/flows/upstream_gate_test.cc
+++ b/filberthollow/decision/flows/upstream_gate_test.cc
@@ -341,6 +341,30 @@
   BOOST_TEST((gate.Report(now).state == UpstreamState::kReady));
 }
 
+// After a power failure, the host of a removed upstream is stopped again soon
+// after its start. Guards against its last report: "leaving" with an upstream
+// that was never heard. Balancers then waited for the agent's answers for 30 s,
+// and told no caller that its flow was lost.
+BOOST_FIXTURE_TEST_CASE(LeavingAgentWaitsUntilItKnowsIfThereIsAnUpstream,
+                        Fixture) {
+  gate.Leave();
+  BOOST_TEST(!gate.KnowsWhetherUpstreamRuns(now));
+  now = now + Millis(1000) * UpstreamLiveness::kAbsentHeartbeats +
+        UpstreamLiveness::kAbsentSlack + Millis(1);
+  BOOST_TEST(gate.KnowsWhetherUpstreamRuns(now));
+  BOOST_TEST(!gate.Report(now).leaving);
+}
+
+// An agent that restarts beside a running upstream may leave once it has heard
+// from it.
+BOOST_FIXTURE_TEST_CASE(LeavingAgentKnowsItsUpstreamAfterOneHeartbeat,
+                        Fixture) {
+  gate.Leave();
+  DeliverHeartbeat(MakeHeartbeat(7));
+  BOOST_TEST(gate.KnowsWhetherUpstreamRuns(now));
+  BOOST_TEST(gate.Report(now).leaving);
+}
+
 // A balancer resets the flows of an upstream that is reported gone. It must not
 // do so while the last packets of the upstream are in transit.
 BOOST_FIXTURE_TEST_CASE(UpstreamIsReportedGoneOnlyAfterShutdownGrace, Fixture) {
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -290,6 +290,9 @@
 }
 
 void AgentTask::StopIfDoneLeaving() {
+  if (!m_gate.KnowsWhetherUpstreamRuns(Now())) {
+    return;
+  }
   decision::flows::UpstreamReport report = m_gate.Report(Now());
   if (report.state == UpstreamState::kGone) {
     StopIfQuiet(kLeaveQuietTime, base::Millis(0));
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -191,6 +191,18 @@
              {"took_ms", note.took}});
 }
 
+void BalancerTask::Apply(const decision::flows::FlowNotFound& note) {
+  m_metrics.Add("flows_not_found");
+  base::Log(Level::kInfo, "flow_not_found",
+            {{"flow", note.flow.Text()},
+             {"reset", note.reset ? "yes" : "no"},
+             {"asked", note.agents_asked},
+             {"unanswered", note.agents_unanswered},
+             {"unsure", note.agents_unsure},
+             {"undecided", note.undecided_agent.Text()},
+             {"took_ms", note.took}});
+}
+
 void BalancerTask::Apply(const decision::flows::AgentSilence& note) {
   m_metrics.Add(note.silent ? "agents_lost" : "agents_regained");
   base::Log(Level::kWarning, note.silent ? "agent_silent" : "agent_heard",
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -80,6 +80,7 @@
   void Apply(const decision::flows::OfferMade& note);
   void Apply(const decision::flows::OfferAccepted& note);
   void Apply(const decision::flows::FlowFound& note);
+  void Apply(const decision::flows::FlowNotFound& note);
   void Apply(const decision::flows::AgentSilence& note);
   // Sends a hello to every known balancer and schedules the next one. Also
   // drops peers that have been silent for too long.
--- a/tools/mutation-check.py
+++ b/tools/mutation-check.py
@@ -81,7 +81,7 @@
     ("decision/flows/flow_router.cc", "&& !found->second.report.leaving", "",
      "decision_flows_flow_router_test"),
     ("decision/flows/flow_router_searches.cc",
-     "!search.IsAnyUnsure() && (complete", "(complete",
+     "asked.holding == Holding::kNotHeld ||", "asked.holding.has_value() ||",
      "decision_flows_flow_router_test"),
     ("decision/flows/flow_router.cc",
      "m_isolated = heard * kIsolationDivisor < known;", "m_isolated = false;",
