Make choice and queue order strategy objects; flush the queue of an agent that stops

An agent that stops as planned while requests are queued now delivers them, since their packets were lost with its buffers; the upstream can refuse what it has no room for.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -14,8 +14,13 @@
 
 }  // namespace
 
-FlowRouter::FlowRouter(uint64_t data_centre, base::Millis now)
-    : m_data_centre(data_centre), m_started(now), m_last_tick(now) {}
+FlowRouter::FlowRouter(uint64_t data_centre,
+                       base::Millis now,
+                       const load::UpstreamChoice& choice)
+    : m_data_centre(data_centre),
+      m_choice(choice),
+      m_started(now),
+      m_last_tick(now) {}
 
 bool FlowRouter::IsSilent(const Agent& agent, base::Millis now) const {
   base::Millis patience =
@@ -165,14 +170,14 @@
   if (route != nullptr && offer.tried.size() < kMaxOffers) {
     candidates = CandidatesFor(route->ServiceFor(ends), offer, now);
   }
-  std::optional<size_t> best = load::ChooseUpstream(candidates, m_data_centre,
-                                                    flow::FlowEndsHash{}(ends));
+  std::optional<size_t> best =
+      m_choice.Choose(candidates, {m_data_centre, flow::FlowEndsHash{}(ends)});
   if (!best && may_wait) {
     return true;
   }
   if (!best) {
-    // An upstream that has not answered may have accepted the flow. The caller
-    // retransmits its packet, and eventually gives up by itself.
+    // An upstream that has not answered may have accepted the flow. The
+    // caller retransmits its packet, and eventually gives up by itself.
     if (offer.any_unanswered) {
       actions.emplace_back(DropPacket{Reason::kNoAgent});
     } else {
@@ -221,9 +226,10 @@
   if (HasLostFlows(known->second.agent, now) && idempotent &&
       header.data_bytes > 0) {
     // After a reset the caller repeats idempotent requests elsewhere. Search
-    // first, since another upstream may have accepted the flow, too, and be the
-    // one that the caller continues with. Requests that are not idempotent are
-    // still forwarded, since the upstream may be processing them.
+    // first, since another upstream may have accepted the flow, too, and be
+    // the one that the caller continues with. Requests that are not
+    // idempotent are still forwarded, since the upstream may be processing
+    // them.
     m_known_flows.erase(known);
     StartSearch(packet, header, now, actions);
     SendQuestions(now, actions);
@@ -332,8 +338,8 @@
   base::Millis gap = now - m_last_tick;
   m_last_tick = now;
   if (gap > kMaxTickGap) {
-    // This process was paused, so missing messages do not mean that the agents
-    // were silent.
+    // This process was paused, so missing messages do not mean that the
+    // agents were silent.
     for (auto& [address, agent] : m_agents) {
       agent.heard_at = agent.heard_at + gap;
       if (agent.asked_at != base::kNever) {
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -173,7 +173,12 @@
   static constexpr base::Millis kBusyTick{20};
   static constexpr base::Millis kIdleTick{100};
 
-  FlowRouter(uint64_t data_centre, base::Millis now);
+  // `data_centre` is the hash of the name of that of this balancer. `choice`
+  // chooses among upstreams; it must outlive the router.
+  FlowRouter(
+      uint64_t data_centre,
+      base::Millis now,
+      const load::UpstreamChoice& choice = load::DefaultUpstreamChoice());
 
   void SetRoutes(std::shared_ptr<const RouteTable> routes) {
     m_routes = std::move(routes);
@@ -385,6 +390,7 @@
   }
 
   const uint64_t m_data_centre;
+  const load::UpstreamChoice& m_choice;
   const base::Millis m_started;
   std::shared_ptr<const RouteTable> m_routes =
       std::make_shared<const RouteTable>();
--- a/filberthollow/decision/flows/upstream_gate.cc
+++ b/filberthollow/decision/flows/upstream_gate.cc
@@ -25,6 +25,7 @@
       m_started(now),
       m_liveness(options.service, options.heartbeat_interval, now),
       m_last_tick(now),
+      m_queue(*options.queue_order),
       m_meter(now) {}
 
 bool UpstreamGate::KnowsAllFlows(base::Millis now) const {
--- a/filberthollow/decision/flows/upstream_gate.h
+++ b/filberthollow/decision/flows/upstream_gate.h
@@ -55,6 +55,8 @@
   // longer knows all flows that its upstream must hold.
   base::Millis flow_lifetime{60'000};
   base::Millis heartbeat_interval{1000};  // between heartbeats of the upstream
+  // Order of the queued requests; must outlive the gate.
+  const load::QueueOrder* queue_order = &load::DefaultQueueOrder();
   friend bool operator==(const GateOptions&, const GateOptions&) = default;
 };
 
@@ -124,6 +126,11 @@
   // milliseconds long, so shorter ticks would use CPU time without any gain.
   static constexpr base::Millis kIdleTick{100};
 
+  // Delivers all queued requests, whatever the upstream's capacity. Call it
+  // before the agent ends: their packets are buffered nowhere else, and the
+  // upstream can refuse those that it has no room for.
+  void DeliverAllRequests(base::Millis now, GateActions& actions);
+
   // Returns the report for the balancers. The sender must set its `interval`.
   UpstreamReport Report(base::Millis now) const;
   // Returns whether it is known if there is an upstream: it has sent a
--- a/filberthollow/decision/flows/upstream_gate_requests.cc
+++ b/filberthollow/decision/flows/upstream_gate_requests.cc
@@ -63,6 +63,15 @@
   }
 }
 
+void UpstreamGate::DeliverAllRequests(base::Millis now, GateActions& actions) {
+  constexpr uint32_t kNoneInFlight = 0;
+  while (std::optional<FlowEnds> ends = m_queue.TakeNext(kNoneInFlight, now)) {
+    if (auto found = m_flows.find(*ends); found != m_flows.end()) {
+      DeliverRequest(*ends, found->second, now, actions);
+    }
+  }
+}
+
 void UpstreamGate::DeliverRequest(const FlowEnds& ends,
                                   Flow& flow,
                                   base::Millis now,
--- a/filberthollow/decision/flows/upstream_gate_requests_test.cc
+++ b/filberthollow/decision/flows/upstream_gate_requests_test.cc
@@ -104,6 +104,19 @@
   BOOST_TEST(gate.Report(now).load.open_flows == 2U);
 }
 
+// Guards against requests that an agent had accepted just before a planned stop
+// under load: they were lost with its buffers.
+BOOST_FIXTURE_TEST_CASE(StoppingAgentDeliversQueuedRequests, FullUpstream) {
+  SendRequest(1);
+  SendRequest(2);
+  BOOST_TEST(!SendRequest(3));
+  gate.Leave();
+  gate.DeliverAllRequests(now, actions);
+  BOOST_TEST(ActionsOfType<DeliverToUpstream>(TakeActions()).size() == 1U);
+  gate.DeliverAllRequests(now, actions);
+  BOOST_TEST(TakeActions().empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(UpstreamFinishEndsPendingRequest, FullUpstream) {
   SendRequest(1);
   flow::PacketHeader finish =
--- a/filberthollow/decision/load/request_queue.cc
+++ b/filberthollow/decision/load/request_queue.cc
@@ -4,6 +4,16 @@
 
 namespace filberthollow::decision::load {
 
+bool AdaptiveLifo::TakesNewest(const QueuedRequest& oldest,
+                               base::Millis now) const {
+  return (now - oldest.queued_at) * kGoalDivisor > oldest.latency_goal;
+}
+
+const QueueOrder& DefaultQueueOrder() {
+  static const AdaptiveLifo adaptive_lifo;
+  return adaptive_lifo;
+}
+
 void RequestQueue::Add(const QueuedRequest& request) {
   m_queued[request.priority].push_back(request);
 }
@@ -26,10 +36,9 @@
   auto first = m_queued.begin();
   std::deque<QueuedRequest>& requests = first->second;
   const QueuedRequest& oldest = requests.front();
-  bool overloaded =
-      (now - oldest.queued_at) * kOverloadGoalDivisor > oldest.latency_goal;
-  flow::FlowEnds flow = overloaded ? requests.back().flow : oldest.flow;
-  if (overloaded) {
+  bool newest = m_order->TakesNewest(oldest, now);
+  flow::FlowEnds flow = newest ? requests.back().flow : oldest.flow;
+  if (newest) {
     requests.pop_back();
   } else {
     requests.pop_front();
--- a/filberthollow/decision/load/request_queue.h
+++ b/filberthollow/decision/load/request_queue.h
@@ -7,6 +7,9 @@
 // one priority the oldest first while waits are short. Once the oldest request
 // has waited for half of its latency goal, the newest goes first, since it can
 // still be answered in time (adaptive LIFO; see Maurer, "Fail at Scale", 2015).
+// This answers the load pattern of an outage that ends in more requests than
+// the upstreams can answer in time: in order of arrival, all answers would be
+// late.
 //
 //   if (!queue.CanDeliverNow(in_flight)) queue.Add(request);
 //   while (auto flow = queue.TakeNext(in_flight, now)) {
@@ -35,6 +38,29 @@
   friend bool operator==(const QueuedRequest&, const QueuedRequest&) = default;
 };
 
+// QueueOrder is a strategy object without state that changes. It tells which of
+// the requests of one priority is delivered next.
+class QueueOrder {
+ public:
+  virtual ~QueueOrder() = default;
+  // Returns whether the newest request goes next, and not `oldest`.
+  virtual bool TakesNewest(const QueuedRequest& oldest,
+                           base::Millis now) const = 0;
+};
+
+// AdaptiveLifo takes the newest request once the oldest one has waited for its
+// latency goal divided by kGoalDivisor. The rest of the goal is left for
+// processing and for the answer's way back.
+class AdaptiveLifo final : public QueueOrder {
+ public:
+  static constexpr int64_t kGoalDivisor = 2;
+  bool TakesNewest(const QueuedRequest& oldest,
+                   base::Millis now) const override;
+};
+
+// Returns the strategy that agents use.
+const QueueOrder& DefaultQueueOrder();
+
 // RequestQueue is not thread-safe; it is owned by one UpstreamGate.
 class RequestQueue {
  public:
@@ -43,10 +69,10 @@
   // next delivery; with more, requests would wait at the upstream, where they
   // can't be reordered.
   static constexpr uint32_t kSlotsPerExtraRequest = 2;
-  // The newest request goes first once the oldest has waited for the latency
-  // goal divided by this. The rest of the goal is left for processing and for
-  // the answer's way back.
-  static constexpr int64_t kOverloadGoalDivisor = 2;
+
+  // `order` must outlive the queue.
+  explicit RequestQueue(const QueueOrder& order = DefaultQueueOrder())
+      : m_order(&order) {}
 
   // Sets how many requests the upstream processes concurrently.
   void SetSlots(uint32_t slots) {
@@ -70,6 +96,7 @@
   size_t size() const;
 
  private:
+  const QueueOrder* m_order;
   // How many requests may be in flight; the initial value is that for one slot.
   uint32_t m_max_in_flight = 2;
   std::map<uint32_t, std::deque<QueuedRequest>> m_queued;  // by priority
--- a/filberthollow/decision/load/upstream_choice.cc
+++ b/filberthollow/decision/load/upstream_choice.cc
@@ -28,27 +28,27 @@
   double running = candidate.load.in_flight;
   double expected = candidate.load.open_flows * in_flight_per_flow;
   double work = (running + expected) / 2 + candidate.placed_since_load;
-  double cold = candidate.load.cold_ms > 0 ? kColdFactor : 1.0;
+  double cold = candidate.load.cold_ms > 0 ? LeastWorkChoice::kColdFactor : 1.0;
   double work_per_slot =
       work * cold / std::max<double>(candidate.load.slots, 1);
-  return candidate.data_centre == data_centre ? work_per_slot
-                                              : work_per_slot + kRemotePenalty;
+  return candidate.data_centre == data_centre
+             ? work_per_slot
+             : work_per_slot + LeastWorkChoice::kRemotePenalty;
 }
 
 }  // namespace
 
-std::optional<size_t> ChooseUpstream(
+std::optional<size_t> LeastWorkChoice::Choose(
     std::span<const UpstreamCandidate> candidates,
-    uint64_t data_centre,
-    uint64_t key) {
+    const ChoiceContext& context) const {
   double in_flight_per_flow = InFlightPerFlow(candidates);
   std::optional<size_t> best;
   std::pair<double, uint64_t> best_rank;
   for (size_t i = 0; i < candidates.size(); ++i) {
     std::pair<double, uint64_t> rank{
-        ScoreOf(candidates[i], in_flight_per_flow, data_centre),
+        ScoreOf(candidates[i], in_flight_per_flow, context.data_centre),
         base::HashWords(
-            {key, candidates[i].agent.ip, candidates[i].agent.port})};
+            {context.key, candidates[i].agent.ip, candidates[i].agent.port})};
     if (!best || rank < best_rank) {
       best = i;
       best_rank = rank;
@@ -57,4 +57,9 @@
   return best;
 }
 
+const UpstreamChoice& DefaultUpstreamChoice() {
+  static const LeastWorkChoice least_work;
+  return least_work;
+}
+
 }  // namespace filberthollow::decision::load
--- a/filberthollow/decision/load/upstream_choice.h
+++ b/filberthollow/decision/load/upstream_choice.h
@@ -1,15 +1,14 @@
 // Chooses the upstream that is offered a new pass-through flow.
 //
-// The upstream with the least expected work per slot is chosen. An upstream in
-// another data centre gets a penalty, since traffic between data centres has a
-// cost. The expected work is the mean of the requests in progress and the
-// requests expected from the open flows, plus the flows that this balancer has
-// placed on the upstream since its load was last reported.
+// The strategy of the product is LeastWorkChoice. It answers these load
+// patterns: many flows that arrive between two load reports (they must not all
+// go to the upstream that was idle in the last one), upstreams that are slow
+// after their start, and flows that are open but idle.
 //
 //   std::optional<size_t> best =
-//       ChooseUpstream(candidates, own_data_centre, key);
-#ifndef FILBERTHOLLOW_DECISION_LOAD_UPSTREAM_CHOICE_H_
-#define FILBERTHOLLOW_DECISION_LOAD_UPSTREAM_CHOICE_H_
+//       LeastWorkChoice().Choose(candidates, {own_data_centre, key});
+#ifndef FILBERTHOLLOW_LOAD_UPSTREAM_CHOICE_H_
+#define FILBERTHOLLOW_LOAD_UPSTREAM_CHOICE_H_
 
 #include <compare>
 #include <cstdint>
@@ -17,6 +16,7 @@
 #include <span>
 
 #include "filberthollow/base/address.h"
+#include "filberthollow/base/clock.h"
 #include "filberthollow/decision/load/upstream_load.h"
 
 namespace filberthollow::decision::load {
@@ -31,22 +31,48 @@
                          const UpstreamCandidate&) = default;
 };
 
-// kRemotePenalty is added to the expected work per slot of an upstream in
-// another data centre. Without it, two thirds of all bytes would cross between
-// three data centres; with a far larger value, queues would grow in the own
-// data centre before flows are placed in another.
-inline constexpr double kRemotePenalty = 0.25;
-// kColdFactor is how many times slower an upstream works just after its start.
-inline constexpr double kColdFactor = 1.6;
-
-// ChooseUpstream returns the index of the best candidate, or nullopt if there
-// are no candidates. `data_centre` is that of the balancer. `key` breaks ties;
-// it differs by flow, so that balancers do not all choose the same upstream.
-std::optional<size_t> ChooseUpstream(
-    std::span<const UpstreamCandidate> candidates,
-    uint64_t data_centre,
-    uint64_t key);
+// ChoiceContext holds what a choice depends on besides the candidates.
+struct ChoiceContext {
+  uint64_t data_centre = 0;  // of the balancer
+  // Differs by flow. Breaks ties, so that balancers do not all choose the same
+  // upstream.
+  uint64_t key = 0;
+  friend bool operator==(const ChoiceContext&, const ChoiceContext&) = default;
+};
+
+// UpstreamChoice is a strategy object without state that changes.
+class UpstreamChoice {
+ public:
+  virtual ~UpstreamChoice() = default;
+  // Choose returns the index of the best candidate, or nullopt if there are no
+  // candidates.
+  virtual std::optional<size_t> Choose(
+      std::span<const UpstreamCandidate> candidates,
+      const ChoiceContext& context) const = 0;
+};
+
+// LeastWorkChoice chooses the upstream with the least expected work per slot:
+// the mean of the requests in progress and the requests expected from the open
+// flows, plus the flows that this balancer has placed on the upstream since its
+// load was last reported. An upstream in another data centre gets a penalty,
+// since traffic between data centres has a cost.
+class LeastWorkChoice final : public UpstreamChoice {
+ public:
+  // Added to the expected work per slot of an upstream in another data centre.
+  // Without it, two thirds of all bytes would cross between three data centres;
+  // with a far larger value, queues would grow in the own data centre before
+  // flows are placed in another.
+  static constexpr double kRemotePenalty = 0.25;
+  // How many times slower an upstream works just after its start.
+  static constexpr double kColdFactor = 1.6;
+
+  std::optional<size_t> Choose(std::span<const UpstreamCandidate> candidates,
+                               const ChoiceContext& context) const override;
+};
+
+// Returns the strategy that balancers use.
+const UpstreamChoice& DefaultUpstreamChoice();
 
 }  // namespace filberthollow::decision::load
 
-#endif  // FILBERTHOLLOW_DECISION_LOAD_UPSTREAM_CHOICE_H_
+#endif  // FILBERTHOLLOW_LOAD_UPSTREAM_CHOICE_H_
--- a/filberthollow/decision/load/upstream_choice_test.cc
+++ b/filberthollow/decision/load/upstream_choice_test.cc
@@ -10,11 +10,18 @@
 constexpr uint64_t kRemoteDataCentre = 2;
 
 UpstreamCandidate Candidate(uint32_t host,
-                                   uint64_t data_centre,
-                                   UpstreamLoad load) {
+                            uint64_t data_centre,
+                            UpstreamLoad load) {
   return {.agent = {host, 1}, .data_centre = data_centre, .load = load};
 }
 
+std::optional<size_t> ChooseUpstream(
+    const std::vector<UpstreamCandidate>& candidates,
+    uint64_t data_centre,
+    uint64_t key) {
+  return LeastWorkChoice().Choose(candidates, {data_centre, key});
+}
+
 BOOST_AUTO_TEST_CASE(NoUpstreamIsChosenWithoutCandidates) {
   BOOST_TEST(!ChooseUpstream({}, kLocalDataCentre, 0).has_value());
 }
@@ -38,7 +45,7 @@
 BOOST_AUTO_TEST_CASE(ColdUpstreamCountsAsBusier) {
   std::vector<UpstreamCandidate> candidates{
       Candidate(1, kLocalDataCentre,
-                       {.slots = 4, .in_flight = 2, .cold_ms = 900}),
+                {.slots = 4, .in_flight = 2, .cold_ms = 900}),
       Candidate(2, kLocalDataCentre, {.slots = 4, .in_flight = 2})};
   BOOST_TEST(*ChooseUpstream(candidates, kLocalDataCentre, 0) == 1U);
 }
@@ -46,9 +53,9 @@
 BOOST_AUTO_TEST_CASE(OpenFlowsCountByTheirExpectedRequests) {
   std::vector<UpstreamCandidate> candidates{
       Candidate(1, kLocalDataCentre,
-                       {.slots = 4, .open_flows = 40, .in_flight_mean = 100}),
+                {.slots = 4, .open_flows = 40, .in_flight_mean = 100}),
       Candidate(2, kLocalDataCentre,
-                       {.slots = 4, .open_flows = 5, .in_flight_mean = 100})};
+                {.slots = 4, .open_flows = 5, .in_flight_mean = 100})};
   BOOST_TEST(*ChooseUpstream(candidates, kLocalDataCentre, 0) == 1U);
 }
 
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -64,6 +64,8 @@
   // A balancer that missed all earlier reports that this agent is leaving would
   // see the agent fall silent and consider its upstream's flows lost.
   if (leaving()) {
+    m_gate.DeliverAllRequests(Now(), m_actions);
+    ApplyActions();
     ReportToLiveBalancers();
   }
 }
