--- a/filberthollow/decision/load/upstream_choice.cc
+++ b/filberthollow/decision/load/upstream_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "filberthollow/base/ids.h"
 
@@ -9,6 +10,8 @@
 namespace {
 
 constexpr double kHundredths = 100.0;
+// More samples balance the load better, fewer spread a burst better.
+constexpr size_t kSampledUpstreams = 2;
 
 // Returns the mean number of requests in progress per open flow, over all
 // candidates.
@@ -57,9 +60,28 @@
   return best;
 }
 
+std::optional<size_t> SampledChoice::Choose(
+    std::span<const UpstreamCandidate> candidates,
+    const ChoiceContext& context) const {
+  if (candidates.size() <= m_samples) {
+    return m_inner.Choose(candidates, context);
+  }
+  std::vector<size_t> indexes;
+  std::vector<UpstreamCandidate> sample;
+  for (uint64_t draw = 0; sample.size() < m_samples; ++draw) {
+    size_t index = base::HashWords({context.key, draw}) % candidates.size();
+    if (std::find(indexes.begin(), indexes.end(), index) == indexes.end()) {
+      indexes.push_back(index);
+      sample.push_back(candidates[index]);
+    }
+  }
+  return indexes[*m_inner.Choose(sample, context)];
+}
+
 const UpstreamChoice& DefaultUpstreamChoice() {
   static const LeastWorkChoice least_work;
-  return least_work;
+  static const SampledChoice sampled(least_work, kSampledUpstreams);
+  return sampled;
 }
 
 }  // namespace filberthollow::decision::load
--- a/filberthollow/decision/load/upstream_choice.h
+++ b/filberthollow/decision/load/upstream_choice.h
@@ -70,6 +70,25 @@
                                const ChoiceContext& context) const override;
 };
 
+// SampledChoice lets another strategy choose among a few candidates, which are
+// drawn by the key of the flow. Balancers that know the same loads would else
+// all send their next flows to the same upstream until its next load report.
+// This answers the load patterns of an overload, of many balancers and of an
+// upstream that comes back idle.
+class SampledChoice final : public UpstreamChoice {
+ public:
+  // `inner` must outlive this object. `samples` must be positive.
+  SampledChoice(const UpstreamChoice& inner, size_t samples)
+      : m_inner(inner), m_samples(samples) {}
+
+  std::optional<size_t> Choose(std::span<const UpstreamCandidate> candidates,
+                               const ChoiceContext& context) const override;
+
+ private:
+  const UpstreamChoice& m_inner;
+  const size_t m_samples;
+};
+
 // Returns the strategy that balancers use.
 const UpstreamChoice& DefaultUpstreamChoice();
 
--- a/filberthollow/decision/load/upstream_choice_test.cc
+++ b/filberthollow/decision/load/upstream_choice_test.cc
@@ -69,5 +69,38 @@
   BOOST_TEST(*ChooseUpstream(candidates, kLocalDataCentre, 0) == 1U);
 }
 
+// Guards against balancers that all send their next flows to the upstream that
+// was idle in the last report.
+BOOST_AUTO_TEST_CASE(SampledChoiceSpreadsFlowsOverSeveralUpstreams) {
+  std::vector<UpstreamCandidate> candidates;
+  for (uint32_t host = 1; host <= 8; ++host) {
+    candidates.push_back(
+        Candidate(host, kLocalDataCentre,
+                  {.slots = 4, .in_flight = static_cast<uint16_t>(host)}));
+  }
+  LeastWorkChoice least_work;
+  SampledChoice sampled(least_work, 2);
+  std::vector<uint32_t> chosen(candidates.size(), 0);
+  constexpr uint32_t kFlows = 800;
+  for (uint64_t key = 0; key < kFlows; ++key) {
+    ++chosen[*sampled.Choose(candidates, {kLocalDataCentre, key})];
+  }
+  BOOST_TEST(chosen[0] > kFlows / 8);  // the least loaded is preferred
+  BOOST_TEST(chosen[0] < kFlows / 3);  // but does not get everything
+  BOOST_TEST(chosen.back() == 0U);     // the most loaded loses each draw
+}
+
+BOOST_AUTO_TEST_CASE(SampledChoiceUsesAllOfFewCandidates) {
+  std::vector<UpstreamCandidate> candidates{
+      Candidate(1, kLocalDataCentre, {.slots = 4, .in_flight = 3}),
+      Candidate(2, kLocalDataCentre, {.slots = 4, .in_flight = 1})};
+  LeastWorkChoice least_work;
+  SampledChoice sampled(least_work, 2);
+  for (uint64_t key = 0; key < 20; ++key) {
+    BOOST_TEST(*sampled.Choose(candidates, {kLocalDataCentre, key}) == 1U);
+  }
+  BOOST_TEST(!sampled.Choose({}, {kLocalDataCentre, 0}).has_value());
+}
+
 }  // namespace
 }  // namespace filberthollow::decision::load
