--- a/filberthollow/config/store_retry.cc
+++ b/filberthollow/config/store_retry.cc
@@ -17,8 +17,9 @@
 base::Millis StoreRetry::Next(bool has_configuration, size_t fleet_size) {
   base::Millis delay = has_configuration ? m_delay : kUnconfiguredDelay;
   m_delay = std::min(m_delay * 2, kMaxDelay);
-  base::Millis fleet_delay(fleet_size * kMillisPerSecond * kPercent /
-                           (m_reads_per_second * kMaxReadPercent));
+  base::Millis fleet_delay(
+      static_cast<int64_t>(fleet_size * kMillisPerSecond * kPercent /
+                           (m_reads_per_second * kMaxReadPercent)));
   int64_t longest = std::max(delay, fleet_delay).count();
   return base::Millis(
       std::uniform_int_distribution<int64_t>(longest / 2, longest)(m_random));
--- a/filberthollow/lab/caller_model.cc
+++ b/filberthollow/lab/caller_model.cc
@@ -1,6 +1,7 @@
 #include "filberthollow/lab/caller_model.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace filberthollow::lab {
@@ -47,7 +48,7 @@
     return;
   }
   double delay = m_sources[kind].arrivals.Exponential(kMillisPerSecond / rate);
-  m_engine.After(base::Millis(static_cast<int64_t>(delay + 0.5)), [this, kind] {
+  m_engine.After(base::Millis(std::lround(delay)), [this, kind] {
     Offer(kind);
     ScheduleArrival(kind);
   });
@@ -60,7 +61,7 @@
   m_outcomes.push_back(
       {.kind = static_cast<uint32_t>(kind),
        .born = m_engine.Now(),
-       .work_ms = std::max(1U, static_cast<uint32_t>(work + 0.5))});
+       .work_ms = static_cast<uint32_t>(std::max(std::lround(work), 1L))});
   uint64_t request = m_outcomes.size();
   m_engine.After(base::Millis(wanted.deadline_ms),
                  [this, request] { OnDeadline(request); });
--- a/filberthollow/lab/experiment.cc
+++ b/filberthollow/lab/experiment.cc
@@ -108,7 +108,8 @@
 double Imbalance(const std::vector<uint64_t>& work) {
   double total = std::accumulate(work.begin(), work.end(), 0.0);
   uint64_t most = *std::max_element(work.begin(), work.end());
-  return total > 0 ? static_cast<double>(most) * work.size() / total : 0;
+  auto upstreams = static_cast<double>(work.size());
+  return total > 0 ? static_cast<double>(most) * upstreams / total : 0;
 }
 
 json ToJsonValue(const std::vector<Count>& counts) {
--- a/filberthollow/lab/optimum.cc
+++ b/filberthollow/lab/optimum.cc
@@ -23,9 +23,11 @@
 
 // Returns the bucket with the lowest price from `first` to `last`.
 size_t Cheapest(const std::vector<double>& prices, size_t first, size_t last) {
-  return static_cast<size_t>(
-      std::min_element(prices.begin() + first, prices.begin() + last + 1) -
-      prices.begin());
+  size_t cheapest = first;
+  for (size_t bucket = first + 1; bucket <= last; ++bucket) {
+    cheapest = prices[bucket] < prices[cheapest] ? bucket : cheapest;
+  }
+  return cheapest;
 }
 
 // Evaluates the bound for `prices` and adds the work that is bought at them to
--- a/filberthollow/lab/upstream_model.cc
+++ b/filberthollow/lab/upstream_model.cc
@@ -107,7 +107,7 @@
   }
 }
 
-void UpstreamModel::StartJob(Job job) {
+void UpstreamModel::StartJob(const Job& job) {
   ++m_busy;
   base::Millis time(std::max<int64_t>(
       int64_t{job.packet.work_ms} * WorkPercent() / kPercent, 1));
@@ -125,9 +125,9 @@
     Answer(flow->second, job.packet, false);
   }
   if (!m_queue.empty()) {
-    Job next = std::move(m_queue.front());
+    Job next = m_queue.front();
     m_queue.pop_front();
-    StartJob(std::move(next));
+    StartJob(next);
   }
 }
 
--- a/filberthollow/lab/upstream_model.h
+++ b/filberthollow/lab/upstream_model.h
@@ -63,7 +63,7 @@
   };
 
   void OnRequest(Flow& flow, const LabPacket& packet);
-  void StartJob(Job job);
+  void StartJob(const Job& job);
   void FinishJob(const Job& job, uint64_t run);
   void Answer(Flow& flow, const LabPacket& packet, bool refused);
 
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -97,8 +97,8 @@
   void Apply(const decision::flows::UpstreamReset& note);
   void Apply(const decision::flows::UpstreamSilence& note);
   // Stops the process if this agent is leaving and either its upstream has
-  // ended or the leave time of a running upstream is over. Waits while it is not
-  // known whether there is an upstream.
+  // ended or the leave time of a running upstream is over. Waits while it is
+  // not known whether there is an upstream.
   void StopIfDoneLeaving();
   // Reports to the live balancers and schedules the next report.
   void OnReportTimer();
