--- a/filberthollow/lab/fleet_model.cc
+++ b/filberthollow/lab/fleet_model.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "filberthollow/lab/caller_model.h"
+#include "filberthollow/lab/fleet_nodes.h"
 
 namespace filberthollow::lab {
 namespace {
@@ -25,8 +26,6 @@
 constexpr Millis kReadinessInterval{500};
 constexpr uint32_t kMissesUntilOut = 2;
 constexpr Millis kHealthCheckTime{2};
-constexpr Millis kDrainTime{3000};
-constexpr Millis kReleaseGap{1000};
 constexpr uint32_t kPercent = 100;
 constexpr uint32_t kConnections = 100'000;
 
@@ -48,28 +47,6 @@
 
 }  // namespace
 
-struct FleetModel::Balancer {
-  base::Address address;
-  uint32_t data_centre = 0;
-  std::unique_ptr<flows::FlowRouter> router;  // null while it is down
-  flows::RouterActions actions;
-  uint64_t run = 0;
-  Millis next_tick{base::kNever};
-  uint32_t misses = 0;
-};
-
-struct FleetModel::Agent {
-  base::Address address;
-  uint32_t data_centre = 0;
-  std::unique_ptr<UpstreamModel> upstream;
-  std::unique_ptr<flows::UpstreamGate> gate;  // null while the agent is down
-  flows::GateActions actions;
-  uint64_t run = 0;
-  uint64_t sequence = 0;  // of heartbeats
-  Millis next_tick{base::kNever};
-  bool lies = false;  // reports no load
-};
-
 class FleetModel::LiveChoice final : public load::UpstreamChoice {
  public:
   LiveChoice(const FleetModel& fleet, const load::UpstreamChoice& choice)
@@ -171,13 +148,13 @@
   return work;
 }
 
-bool FleetModel::IsLost() {
+bool FleetModel::IsPacketLost() {
   return m_pattern.loss_per_mille > 0 &&
          m_losses.Chance(m_pattern.loss_per_mille / 1000.0);
 }
 
 void FleetModel::Deliver(Engine::Action action) {
-  if (!IsLost()) {
+  if (!IsPacketLost()) {
     m_engine.After(Millis(m_pattern.delay_ms), std::move(action));
   }
 }
@@ -452,88 +429,4 @@
   }
 }
 
-void FleetModel::Schedule(const PatternEvent& event) {
-  m_engine.At(Millis(event.at_ms), [this, event] { Begin(event); });
-  m_engine.At(Millis(event.at_ms) + Millis(event.for_ms),
-              [this, event] { End(event); });
-}
-
-void FleetModel::Release(size_t index) {
-  m_agents[index]->upstream->SetDraining(true);
-  m_engine.After(kDrainTime,
-                 [this, index] { m_agents[index]->upstream->Start(true); });
-}
-
-void FleetModel::Begin(const PatternEvent& event) {
-  if (event.event == EventKind::kRestartAll ||
-      event.event == EventKind::kRestartBalancers) {
-    m_routes_available_at = Millis(event.at_ms) + Millis(event.outage_ms);
-    for (size_t i = 0; i < m_balancers.size(); ++i) {
-      StopBalancer(i);
-    }
-  }
-  size_t affected = std::min<size_t>(event.upstreams, m_agents.size());
-  for (size_t i = 0; i < m_agents.size(); ++i) {
-    Agent& agent = *m_agents[i];
-    bool in_lost_centre =
-        event.event == EventKind::kLoseDataCentre && agent.data_centre == 0;
-    if (in_lost_centre || event.event == EventKind::kRestartAll) {
-      StopAgent(i);
-    }
-    if (in_lost_centre || (event.event == EventKind::kCrash && i < affected)) {
-      agent.upstream->Crash();
-    }
-    if (i >= affected) {
-      continue;
-    }
-    if (event.event == EventKind::kSlow) {
-      agent.upstream->SetSlowPercent(event.percent);
-    } else if (event.event == EventKind::kGrey) {
-      agent.upstream->SetRefusedPercent(event.percent);
-    } else if (event.event == EventKind::kLyingLoad) {
-      agent.lies = true;
-    } else if (event.event == EventKind::kRelease) {
-      m_engine.After(kReleaseGap * static_cast<int64_t>(i),
-                     [this, i] { Release(i); });
-    }
-  }
-  for (size_t i = 0; i < m_balancers.size(); ++i) {
-    if (event.event == EventKind::kLoseDataCentre &&
-        m_balancers[i]->data_centre == 0) {
-      StopBalancer(i);
-    }
-  }
-}
-
-void FleetModel::End(const PatternEvent& event) {
-  size_t affected = std::min<size_t>(event.upstreams, m_agents.size());
-  for (size_t i = 0; i < m_agents.size(); ++i) {
-    Agent& agent = *m_agents[i];
-    bool crashed = event.event == EventKind::kCrash && i < affected;
-    bool lost =
-        event.event == EventKind::kLoseDataCentre && agent.data_centre == 0;
-    if (crashed || lost) {
-      agent.upstream->Start(true);
-    }
-    if (agent.gate == nullptr &&
-        (lost || event.event == EventKind::kRestartAll)) {
-      StartAgent(i);
-    }
-    if (i < affected) {
-      if (event.event == EventKind::kSlow) {
-        agent.upstream->SetSlowPercent(kPercent);
-      } else if (event.event == EventKind::kGrey) {
-        agent.upstream->SetRefusedPercent(0);
-      } else if (event.event == EventKind::kLyingLoad) {
-        agent.lies = false;
-      }
-    }
-  }
-  for (size_t i = 0; i < m_balancers.size(); ++i) {
-    if (m_balancers[i]->router == nullptr) {
-      StartBalancer(i);
-    }
-  }
-}
-
 }  // namespace filberthollow::lab
--- a/filberthollow/lab/fleet_model.h
+++ b/filberthollow/lab/fleet_model.h
@@ -65,7 +65,7 @@
   // LiveChoice passes the present loads of the upstreams to another choice.
   class LiveChoice;
 
-  bool IsLost();
+  bool IsPacketLost();
   void Deliver(Engine::Action action);
   // Processes.
   void StartBalancer(size_t index);
@@ -87,10 +87,14 @@
                std::function<void(Agent&, size_t index)> action);
   void ToBalancer(base::Address address,
                   std::function<void(Balancer&, size_t index)> action);
-  // Events.
+  // Events; see fleet_events.cc.
   void Schedule(const PatternEvent& event);
   void Begin(const PatternEvent& event);
   void End(const PatternEvent& event);
+  // Starts what an event does to one upstream.
+  void Disturb(const PatternEvent& event, size_t agent);
+  // Returns whether an event takes away the hosts of a data centre.
+  static bool IsLost(const PatternEvent& event, uint32_t data_centre);
   void Release(size_t agent);
 
   Engine& m_engine;
