End no search with a reset during discovery

A search with an unsure agent ends by its own timeout, also before the balancer must know all agents, so that a flow of an agent not yet discovered could be reset. Change: a flow counts as lost only once all agents must be known. The test fails without this (UnsureAgentThatIsGoneEndsNoSearchDuringDiscovery).

--- a/filberthollow/decision/flows/flow_router_searches.cc
+++ b/filberthollow/decision/flows/flow_router_searches.cc
@@ -242,7 +242,7 @@
   }
   const CompiledRoute* route = m_routes->Find(ends.route);
   bool idempotent = route != nullptr && route->idempotent;
-  bool lost = complete || (rest_lost && idempotent);
+  bool lost = KnowsAllAgents(now) && (complete || (rest_lost && idempotent));
   bool reset = lost && search.has_data;
   actions.emplace_back(
       FlowNotFound{.flow = ends,
--- a/filberthollow/decision/flows/flow_router_test.cc
+++ b/filberthollow/decision/flows/flow_router_test.cc
@@ -523,6 +523,21 @@
   BOOST_TEST(resets.size() == 1U);
 }
 
+// An agent that is not discovered yet may hold the flow, whatever has become of
+// those that are known.
+BOOST_FIXTURE_TEST_CASE(UnsureAgentThatIsGoneEndsNoSearchDuringDiscovery,
+                        Fixture) {
+  Report(kFirstAgent);
+  FromCaller(Data(101, 500));
+  Answer(kFirstAgent, Holding::kUnsure);
+  router.OnReport({.service = testing::kDesk,
+                   .state = UpstreamState::kGone,
+                   .interval = Millis(200)},
+                  kFirstAgent, now);
+  RouterActions early = AdvanceTime(FlowRouter::kSearchTimeout + kStep * 2, {});
+  BOOST_TEST(ActionsOfType<ResetCaller>(early).empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(PausedBalancerDoesNotResetFlows, IdempotentFlow) {
   now = now + Millis(4000);
   router.OnTick(now, actions);
