Log what a search counts as settled, absent upstreams and pauses

Cause: the record of the reset open flow can't tell three hypotheses apart: an agent that the balancer does not know, an agent that denies its upstream, a balancer that did not run for a while. No decision changes.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -346,6 +346,7 @@
         agent.asked_at = agent.asked_at + gap;
       }
     }
+    actions.emplace_back(ProcessPaused{gap});
     return;
   }
   CheckIsolation(now);
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -88,6 +88,10 @@
   // Agents that have not answered, and those that don't know.
   size_t agents_unanswered = 0;
   size_t agents_unsure = 0;
+  // Agents whose answer is not needed: those that have reported no upstream,
+  // and those that count as having lost their flows.
+  size_t agents_without_upstream = 0;
+  size_t agents_lost = 0;
   // One of those that don't know, or else that have not answered.
   base::Address undecided_agent;
   base::Millis took;  // time since the search started
@@ -102,6 +106,13 @@
   friend bool operator==(const AgentSilence&, const AgentSilence&) = default;
 };
 
+// ProcessPaused: this process did not run for some time. Messages that are
+// missing for that time do not show that agents are silent.
+struct ProcessPaused {
+  base::Millis gap;
+  friend bool operator==(const ProcessPaused&, const ProcessPaused&) = default;
+};
+
 using RouterAction = std::variant<SendForward,
                                   SendLocate,
                                   ResetCaller,
@@ -110,7 +121,8 @@
                                   OfferAccepted,
                                   FlowFound,
                                   FlowNotFound,
-                                  AgentSilence>;
+                                  AgentSilence,
+                                  ProcessPaused>;
 using RouterActions = std::vector<RouterAction>;
 
 // FlowRouter belongs to one task and is not thread-safe. Its methods append
@@ -263,6 +275,9 @@
 
     size_t CountUnsure() const;
     size_t CountUnanswered() const;
+    // Returns the number of asked agents for which `matches` returns true.
+    template <class Matches>
+    size_t CountAgents(Matches matches) const;
     base::Address UndecidedAgent() const;
   };
   template <class Value>
--- a/filberthollow/decision/flows/flow_router_searches.cc
+++ b/filberthollow/decision/flows/flow_router_searches.cc
@@ -22,6 +22,13 @@
                        [](const auto& entry) { return !entry.second.holding; });
 }
 
+template <class Matches>
+size_t FlowRouter::Search::CountAgents(Matches matches) const {
+  return std::count_if(
+      asked.begin(), asked.end(),
+      [&matches](const auto& entry) { return matches(entry.first); });
+}
+
 base::Address FlowRouter::Search::UndecidedAgent() const {
   base::Address undecided;
   for (const auto& [address, answer] : asked) {
@@ -250,6 +257,11 @@
                    .agents_asked = search.asked.size(),
                    .agents_unanswered = search.CountUnanswered(),
                    .agents_unsure = search.CountUnsure(),
+                   .agents_without_upstream = search.CountAgents(
+                       [this](base::Address a) { return HasNoUpstream(a); }),
+                   .agents_lost = search.CountAgents([this, now](auto agent) {
+                     return HasLostFlows(agent, now);
+                   }),
                    .undecided_agent = search.UndecidedAgent(),
                    .took = now - search.started_at});
   if (reset) {
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -86,20 +86,27 @@
 }
 
 void AgentTask::Handle(const HeartbeatReceived& m) {
-  UpstreamState before = m_gate.Report(Now()).state;
   if (!m_gate.OnHeartbeat(m.heartbeat, Now(), m_actions)) {
     m_metrics.Add("beats_ignored");
     return;
   }
-  if (UpstreamState after = m_gate.Report(Now()).state; after != before) {
-    base::Log(Level::kInfo, "upstream_state",
-              {{"upstream", m.heartbeat.id},
-               {"state", std::string(StateName(after))},
-               {"sequence", m.heartbeat.sequence}});
-  }
+  LogUpstreamState(&m.heartbeat);
   ApplyActions();
 }
 
+void AgentTask::LogUpstreamState(
+    const decision::flows::UpstreamHeartbeat* heartbeat) {
+  UpstreamState state = m_gate.Report(Now()).state;
+  if (state == m_logged_state) {
+    return;
+  }
+  m_logged_state = state;
+  base::Log(Level::kInfo, "upstream_state",
+            {{"upstream", heartbeat == nullptr ? "" : heartbeat->id},
+             {"state", std::string(StateName(state))},
+             {"sequence", heartbeat == nullptr ? 0 : heartbeat->sequence}});
+}
+
 void AgentTask::Handle(const HealthCheckResult& m) {
   m_gate.OnHealthCheck(m.answered, Now(), m_actions);
   ApplyActions();
@@ -288,6 +295,7 @@
 void AgentTask::OnDecisionTick() {
   m_gate.OnTick(Now(), m_actions);
   ApplyActions();
+  LogUpstreamState(nullptr);
   StopIfDoneLeaving();
 }
 
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -96,6 +96,9 @@
   void Apply(const decision::flows::RequestAnswered& note);
   void Apply(const decision::flows::UpstreamReset& note);
   void Apply(const decision::flows::UpstreamSilence& note);
+  // Logs the state reported for the upstream if it has changed. `heartbeat` is
+  // the one that changed it, or null if it was a timeout.
+  void LogUpstreamState(const decision::flows::UpstreamHeartbeat* heartbeat);
   // Stops the process if this agent is leaving and either its upstream has
   // ended or the leave time of a running upstream is over. Waits while it is
   // not known whether there is an upstream.
@@ -120,6 +123,8 @@
   decision::flows::UpstreamGate m_gate;
   decision::flows::GateActions m_actions;
   base::Millis m_discovery_interval = kFirstDiscoveryInterval;
+  // The state that LogUpstreamState() has last seen.
+  decision::flows::UpstreamState m_logged_state{};
 };
 
 }  // namespace filberthollow::passthrough
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -199,6 +199,9 @@
              {"asked", note.agents_asked},
              {"unanswered", note.agents_unanswered},
              {"unsure", note.agents_unsure},
+             {"without_upstream", note.agents_without_upstream},
+             {"lost", note.agents_lost},
+             {"known", m_router.Agents().size()},
              {"undecided", note.undecided_agent.Text()},
              {"took_ms", note.took}});
 }
@@ -211,6 +214,11 @@
              {"isolated", note.isolated ? "yes" : "no"}});
 }
 
+void BalancerTask::Apply(const decision::flows::ProcessPaused& note) {
+  m_metrics.Add("process_pauses");
+  base::Log(Level::kWarning, "process_paused", {{"gap_ms", note.gap}});
+}
+
 void BalancerTask::OnDecisionTick() {
   m_router.OnTick(Now(), m_actions);
   ApplyActions();
