Name absent agents to balancers that have just started

Callers saw: an open flow was reset by a balancer while its upstream served. Cause: a balancer takes the agents that have reported within a second of its start for all agents. An agent that restarts as planned at that time (rolling restarts of both kinds of host) reports later, so that a search among the others ends with 'no agent holds the flow', and the caller is reset, also on routes whose work must not be repeated. Balancers that have run longer know the agent and that it leaves. Class: a decision that needs the whole membership is taken from a partial view. The router treats named agents as it treats agents that it has heard before: a search asks them, and while they are announced to return, it ends with no reset. They make a balancer neither ready nor isolated. Ruled out: a longer discovery period (callers of lost flows would be told later after every loss of power, and the race stays); asking peers at the end of a search (a round trip for every reset).

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -57,8 +57,8 @@
   size_t known = 0;
   size_t heard = 0;
   for (const auto& [address, agent] : m_agents) {
-    known += now - agent.heard_at < kIsolationWindow ? 1 : 0;
-    heard += WasHeardRecently(agent, now) ? 1 : 0;
+    known += agent.heard && now - agent.heard_at < kIsolationWindow ? 1 : 0;
+    heard += agent.heard && WasHeardRecently(agent, now) ? 1 : 0;
   }
   m_isolated = heard * kIsolationDivisor < known;
 }
@@ -72,7 +72,7 @@
   bool hears_agent = false;
   bool agent_has_routes = false;
   for (const auto& [address, agent] : m_agents) {
-    hears_agent = hears_agent || !IsSilent(agent, now);
+    hears_agent = hears_agent || (agent.heard && !IsSilent(agent, now));
     agent_has_routes = agent_has_routes || agent.report.revision > 0;
   }
   return hears_agent && !m_isolated && (HasRoutes() || !agent_has_routes);
@@ -86,16 +86,55 @@
   return agents;
 }
 
-void FlowRouter::OnReport(const UpstreamReport& report,
+bool FlowRouter::OnReport(const UpstreamReport& report,
                           base::Address agent,
                           base::Millis now) {
   m_longest_interval = std::max(m_longest_interval, report.interval);
   auto [known, added] = m_agents.try_emplace(agent);
   m_agents_added += added ? 1 : 0;
+  bool starts_leaving = report.leaving && !known->second.report.leaving;
   known->second = Agent{.report = report,
                         .heard_at = now,
                         .load_reported_at = now,
                         .silent = known->second.silent};
+  return starts_leaving;
+}
+
+void FlowRouter::OnAbsentAgents(const AbsentAgents& absent, base::Millis now) {
+  for (const AbsentAgent& named : absent.agents) {
+    if (named.heard_ago > kAgentExpiry) {
+      continue;
+    }
+    auto [known, added] = m_agents.try_emplace(named.agent);
+    if (!added) {
+      continue;
+    }
+    ++m_agents_added;
+    known->second =
+        Agent{.report = {.service = named.service, .leaving = named.leaving},
+              .heard_at = now - named.heard_ago,
+              .load_reported_at = now,
+              .heard = false};
+    known->second.silent = IsSilent(known->second, now);
+  }
+}
+
+std::vector<AbsentAgents> FlowRouter::ListAbsentAgents(base::Millis now) const {
+  std::vector<AbsentAgents> lists;
+  for (const auto& [address, agent] : m_agents) {
+    bool absent = agent.report.leaving || IsSilent(agent, now);
+    if (!absent || HasNoUpstream(address)) {
+      continue;
+    }
+    if (lists.empty() || lists.back().agents.size() == kMaxAbsentAgents) {
+      lists.emplace_back();
+    }
+    lists.back().agents.push_back({.agent = address,
+                                   .service = agent.report.service,
+                                   .leaving = agent.report.leaving,
+                                   .heard_ago = now - agent.heard_at});
+  }
+  return lists;
 }
 
 void FlowRouter::OnCallerPacket(std::string_view packet,
@@ -284,6 +323,7 @@
                           const load::UpstreamLoad& load,
                           base::Millis now) {
   if (auto known = m_agents.find(agent); known != m_agents.end()) {
+    known->second.heard = true;
     known->second.heard_at = now;
     known->second.asked_at = base::kNever;
     known->second.report.load = load;
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -215,10 +215,15 @@
                  base::Address agent,
                  base::Millis now,
                  RouterActions& actions);
-  // OnReport handles an agent's report.
-  void OnReport(const UpstreamReport& report,
+  // OnReport handles an agent's report. Returns whether it is the first one
+  // that says that the agent is leaving.
+  bool OnReport(const UpstreamReport& report,
                 base::Address agent,
                 base::Millis now);
+  // OnAbsentAgents records agents that another balancer knows. Those that this
+  // one knows already are ignored. Flows of the others are not taken for lost
+  // only because this balancer has not heard of their agents.
+  void OnAbsentAgents(const AbsentAgents& absent, base::Millis now);
   // OnTick handles timeouts. It must be called again after each TickDelay().
   void OnTick(base::Millis now, RouterActions& actions);
   base::Millis TickDelay() const {
@@ -231,6 +236,9 @@
   bool IsReady(base::Millis now) const;
   // Returns the known agents.
   std::vector<base::Address> Agents() const;
+  // Returns the agents that a balancer that starts now would not hear, in
+  // messages of kMaxAbsentAgents at most.
+  std::vector<AbsentAgents> ListAbsentAgents(base::Millis now) const;
   size_t known_flows() const { return m_known_flows.size(); }
 
  private:
@@ -243,6 +251,9 @@
     bool offer_unanswered = false;   // an offer timed out since the last report
     base::Millis load_reported_at;
     bool silent = false;  // as in the last AgentSilence event
+    // Whether this balancer has received a message of the agent. If not, it
+    // was named by another balancer.
+    bool heard = true;
   };
   struct KnownFlow {
     base::Address agent;
--- a/filberthollow/decision/flows/flow_router_test.cc
+++ b/filberthollow/decision/flows/flow_router_test.cc
@@ -279,6 +279,87 @@
   BOOST_TEST((asked[0].agent == kThirdAgent));
 }
 
+// Guards against a balancer that starts while an agent restarts as planned, and
+// takes the agents that it hears for all agents.
+BOOST_FIXTURE_TEST_CASE(FlowOfAgentNamedByAnotherBalancerIsNotReset, Fixture) {
+  Report(kFirstAgent);
+  router.OnAbsentAgents(
+      {{{kSecondAgent, testing::kDesk, /*leaving=*/true, Millis(300)}}}, now);
+  WaitForDiscovery({kFirstAgent});
+  RouterActions end = FromCaller(Data(101, 500));
+  BOOST_TEST(ActionsOfType<SendLocate>(end).size() == 2U);
+  Answer(kFirstAgent, Holding::kNotHeld);
+  end = AdvanceTime(FlowRouter::kSearchTimeout * 3, {kFirstAgent});
+  BOOST_TEST(ActionsOfType<ResetCaller>(end).empty());
+  // Once the agent has returned, it is asked again.
+  Report(kSecondAgent);
+  FromCaller(Data(101, 500));
+  BOOST_TEST(
+      ActionsOfType<SendForward>(Answer(kSecondAgent, Holding::kHeld)).size() ==
+      1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AgentsThatLeaveOrAreSilentAreNamed, Fixture) {
+  Report(kFirstAgent);
+  Report(kSecondAgent);
+  Report(kThirdAgent);
+  BOOST_TEST(router.ListAbsentAgents(now).empty());
+  UpstreamReport leaving{.service = testing::kDesk,
+                         .state = UpstreamState::kDraining,
+                         .interval = Millis(200),
+                         .leaving = true};
+  BOOST_TEST(router.OnReport(leaving, kSecondAgent, now));
+  BOOST_TEST(!router.OnReport(leaving, kSecondAgent, now));
+  // An agent without an upstream holds no flow.
+  router.OnReport({.service = testing::kDesk,
+                   .state = UpstreamState::kGone,
+                   .interval = Millis(200)},
+                  Address{4, 7000}, now);
+  Millis silence = FlowRouter::kMinSilence + kStep;
+  AdvanceTime(silence, {kFirstAgent});
+  auto named = router.ListAbsentAgents(now);
+  BOOST_REQUIRE(named.size() == 1U);
+  AbsentAgents expected{{{kSecondAgent, testing::kDesk, true, silence},
+                         {kThirdAgent, testing::kDesk, false, silence}}};
+  BOOST_TEST((named[0] == expected));
+}
+
+BOOST_FIXTURE_TEST_CASE(AbsentAgentsAreNamedInSeveralMessages, Fixture) {
+  for (uint32_t host = 1; host <= kMaxAbsentAgents + 1; ++host) {
+    Report({host, 7000});
+  }
+  AdvanceTime(FlowRouter::kMinSilence + kStep, {});
+  auto named = router.ListAbsentAgents(now);
+  BOOST_REQUIRE(named.size() == 2U);
+  BOOST_TEST(named[0].agents.size() == kMaxAbsentAgents);
+  BOOST_TEST(named[1].agents.size() == 1U);
+}
+
+// Other balancers serve callers better until this one hears an agent itself.
+BOOST_FIXTURE_TEST_CASE(NamedAgentsMakeBalancerNeitherReadyNorIsolated,
+                        Fixture) {
+  for (uint32_t host = 11; host <= 15; ++host) {
+    router.OnAbsentAgents(
+        {{{{host, 7000}, testing::kDesk, /*leaving=*/true, Millis(0)}}}, now);
+  }
+  router.OnTick(now, actions);
+  BOOST_TEST(!router.IsReady(now));
+  Report(kFirstAgent);
+  router.OnTick(now, actions);
+  BOOST_TEST(router.IsReady(now));
+}
+
+BOOST_FIXTURE_TEST_CASE(OwnReportsCountMoreThanNamedAgents, Fixture) {
+  WaitForDiscovery({kFirstAgent});
+  router.OnAbsentAgents(
+      {{{kFirstAgent, testing::kDesk, /*leaving=*/true, Millis(5000)}}}, now);
+  router.OnAbsentAgents({{{kSecondAgent, testing::kDesk, /*leaving=*/true,
+                           FlowRouter::kAgentExpiry + Millis(1)}}},
+                        now);
+  BOOST_TEST(router.Agents().size() == 1U);
+  BOOST_TEST(router.ListAbsentAgents(now).empty());
+}
+
 // Otherwise the caller is not reset until it retransmits, after up to 1.6 s.
 BOOST_FIXTURE_TEST_CASE(PendingSearchEndsWithResetAfterDiscovery, Fixture) {
   Report(kFirstAgent);
--- a/filberthollow/decision/flows/packet_messages.h
+++ b/filberthollow/decision/flows/packet_messages.h
@@ -74,6 +74,27 @@
   friend bool operator==(const BalancerHello&, const BalancerHello&) = default;
 };
 
+// AbsentAgent is an agent whose reports are missing or about to be missing,
+// while its upstream may still hold flows.
+struct AbsentAgent {
+  base::Address agent;
+  base::ServiceId service{};  // of its upstream
+  bool leaving = false;       // as in its last report
+  base::Millis heard_ago;     // time since its last message
+  friend bool operator==(const AbsentAgent&, const AbsentAgent&) = default;
+};
+
+// kMaxAbsentAgents limits the agents of one AbsentAgents, so that it fits in a
+// datagram.
+inline constexpr size_t kMaxAbsentAgents = 48;
+
+// AbsentAgents tells a balancer that has just started of agents that it can't
+// hear itself.
+struct AbsentAgents {
+  std::vector<AbsentAgent> agents;
+  friend bool operator==(const AbsentAgents&, const AbsentAgents&) = default;
+};
+
 // Forward carries a caller's packet from a balancer to an agent.
 struct Forward {
   uint64_t revision = 0;  // of the configuration that the balancer uses
--- a/filberthollow/decision/membership/balancer_set.cc
+++ b/filberthollow/decision/membership/balancer_set.cc
@@ -21,6 +21,7 @@
   auto [found, added] = m_balancers.try_emplace(balancer);
   bool is_new = added || !found->second.heard || found->second.run != run;
   found->second = {.heard_at = now,
+                   .run_heard_at = is_new ? now : found->second.run_heard_at,
                    .run = run,
                    .heard = true,
                    .leaving = leaving,
@@ -75,6 +76,12 @@
       [this, now](const Entry& entry) { return !IsLive(entry, now); });
 }
 
+std::vector<base::Address> BalancerSet::Newcomers(base::Millis now) const {
+  return Select([this, now](const Entry& entry) {
+    return IsLive(entry, now) && now - entry.run_heard_at < kNewcomerTime;
+  });
+}
+
 bool BalancerSet::IsNotifierFor(base::Address peer, base::Millis now) const {
   // The balancer with the lowest value ranks highest.
   auto rank = [peer](base::Address balancer) {
--- a/filberthollow/decision/membership/balancer_set.h
+++ b/filberthollow/decision/membership/balancer_set.h
@@ -68,6 +68,11 @@
   std::vector<base::Address> Live(base::Millis now) const;
   // Returns the balancers that are silent or have never sent a hello.
   std::vector<base::Address> Silent(base::Millis now) const;
+  // How long a balancer counts as a newcomer after its first hello. It may not
+  // know all agents yet.
+  static constexpr base::Millis kNewcomerTime{5000};
+  // Returns the live balancers that have started recently.
+  std::vector<base::Address> Newcomers(base::Millis now) const;
   // Returns the live balancers that are not leaving.
   std::vector<base::Address> LiveNotLeaving(base::Millis now) const;
   // Maximum number of balancers that a hello advertises.
@@ -93,6 +98,7 @@
   struct Entry {
     // Time of the last hello, or of Add() if there was none.
     base::Millis heard_at;
+    base::Millis run_heard_at;  // time of the first hello of `run`
     uint64_t run = 0;
     // Whether the balancer has ever sent a hello.
     bool heard = false;
--- a/filberthollow/decision/membership/balancer_set_test.cc
+++ b/filberthollow/decision/membership/balancer_set_test.cc
@@ -42,6 +42,18 @@
   BOOST_TEST(set.LiveNotLeaving(Millis(1000)).empty());
 }
 
+// A balancer counts as a newcomer for some time after each of its starts.
+BOOST_AUTO_TEST_CASE(BalancerThatHasStartedIsNewcomer) {
+  BalancerSet set(kSelf);
+  set.OnHello(kOther, kRun, false, Millis(0));
+  Millis later = BalancerSet::kNewcomerTime;
+  set.OnHello(kOther, kRun, false, later - Millis(1));
+  BOOST_TEST(set.Newcomers(later - Millis(1)).size() == 1U);
+  BOOST_TEST(set.Newcomers(later).empty());
+  set.OnHello(kOther, kRun + 1, false, later);
+  BOOST_TEST(set.Newcomers(later).size() == 1U);
+}
+
 // A balancer restarted at the same address knows no agents. With reports one
 // second apart, it reset open flows of agents that it had not heard from yet.
 BOOST_AUTO_TEST_CASE(ARestartedBalancerIsReportedAsNew) {
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -192,6 +192,11 @@
   Handle(BalancersFound{m.balancers});
 }
 
+void AgentTask::HandlePeerMessage(const decision::flows::AbsentAgents& /*m*/,
+                                  base::Address /*from*/) {
+  m_metrics.Count(flow::Reason::kMalformed);  // sent to balancers only
+}
+
 void AgentTask::ApplyActions() {
   // Apply() must not add to m_actions, which would invalidate the iterators.
   for (const decision::flows::GateAction& action : m_actions) {
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -80,6 +80,8 @@
                          base::Address from);
   void HandlePeerMessage(const decision::flows::BalancerHello& m,
                          base::Address from);
+  void HandlePeerMessage(const decision::flows::AbsentAgents& m,
+                         base::Address from);
 
   // Carries out the gate's decisions in `m_actions` and clears the list. An
   // Apply() overload with a `note` only logs and counts a decision.
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -116,7 +116,11 @@
 
 void BalancerTask::HandlePeerMessage(const decision::flows::UpstreamReport& m,
                                      base::Address from) {
-  m_router.OnReport(m, from, Now());
+  if (m_router.OnReport(m, from, Now())) {
+    for (base::Address newcomer : m_balancers.Newcomers(Now())) {
+      SendAbsentAgents(newcomer);
+    }
+  }
   NotifyIfNewerRevision(m.revision, m_router.revision(), from);
   auto [hello_at, added] = m_agent_hello_at.try_emplace(from, Now());
   bool behind = m.revision < m_router.revision();
@@ -133,10 +137,17 @@
   if (m_balancers.OnHello(from, m.run, m.leaving, Now())) {
     SendHello(from);
     NotifyAssignedPeers(from);  // makes agents report to it immediately
+    SendAbsentAgents(from);
   }
   Handle(BalancersFound{m.balancers});
 }
 
+void BalancerTask::HandlePeerMessage(const decision::flows::AbsentAgents& m,
+                                     base::Address /*from*/) {
+  m_metrics.Add("agents_named", m.agents.size());
+  m_router.OnAbsentAgents(m, Now());
+}
+
 void BalancerTask::ApplyActions() {
   for (const decision::flows::RouterAction& action : m_actions) {
     std::visit([this](const auto& a) { Apply(a); }, action);
@@ -298,4 +309,13 @@
   }
 }
 
+void BalancerTask::SendAbsentAgents(base::Address newcomer) {
+  if (!m_balancers.IsNotifierFor(newcomer, Now())) {
+    return;
+  }
+  for (const auto& absent : m_router.ListAbsentAgents(Now())) {
+    SendToPeer(absent, newcomer);
+  }
+}
+
 }  // namespace filberthollow::passthrough
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -69,6 +69,8 @@
                          base::Address from);
   void HandlePeerMessage(const decision::flows::BalancerHello& m,
                          base::Address from);
+  void HandlePeerMessage(const decision::flows::AbsentAgents& m,
+                         base::Address from);
 
   // Carries out the router's decisions in `m_actions` and clears the list. An
   // Apply() overload with a `note` only logs and counts a decision.
@@ -100,6 +102,9 @@
   // The assignment (BalancerSet::IsNotifierFor()) limits the number of
   // balancers that send each peer the same news.
   void NotifyAssignedPeers(base::Address newcomer = {});
+  // Tells `newcomer`, a balancer that has just started, of the agents that it
+  // can't hear, if this balancer is assigned to notify it.
+  void SendAbsentAgents(base::Address newcomer);
   // Updates the readiness reported to the fabric, and logs it if it changed.
   void CheckReadiness();
 
--- a/filberthollow/platform/platform_fleet_test.py
+++ b/filberthollow/platform/platform_fleet_test.py
@@ -100,6 +100,27 @@
         wait_until(lambda: caller.send_request(
             balancer, port, accepted, b"c"), 10, "the flow is answered again")
 
+    # Guards against a balancer that starts while an agent restarts as planned,
+    # does not know of it and resets the flows of its upstream.
+    def test_new_balancer_does_not_reset_flows_of_restarting_agent(self):
+        system, caller = self.system, self.system.caller
+        system.add_upstream(1)
+        balancer = system.balancers[1]
+        port, accepted = system.open_flow_at(balancer, self.upstream)
+        agent = system.running[self.upstream.host]
+        agent.send_signal(signal.SIGTERM)
+        self.assertEqual(agent.wait(3), 0)
+        system.running[balancer].kill()
+        system.running[balancer].wait(10)
+        system.start(balancer, "balancer", first_start="false")
+        system.wait_ready()
+        for _ in range(10):  # beyond the time until it must know all agents
+            caller.send(balancer, port, ACK, b"a", ack=accepted.seq + 1)
+            self.assertIsNone(caller.receive(port, 0.2))
+        system.start(self.upstream.host, "agent", first_start="false")
+        wait_until(lambda: caller.send_request(
+            balancer, port, accepted, b"a"), 10, "the flow is answered again")
+
     def test_stopping_balancer_is_not_ready_but_forwards_until_exit(self):
         balancer = self.system.balancers[0]
         caller = self.system.caller
--- a/filberthollow/wire/packet_codec.cc
+++ b/filberthollow/wire/packet_codec.cc
@@ -9,9 +9,11 @@
 namespace {
 
 using base::Value;
+using decision::flows::AbsentAgents;
 using decision::flows::BalancerHello;
 using decision::flows::FlowAnswer;
 using decision::flows::Forward;
+using decision::flows::kMaxAbsentAgents;
 using decision::flows::kMaxFlowsPerLocate;
 using decision::flows::Locate;
 using decision::flows::Located;
@@ -208,6 +210,35 @@
   return true;
 }
 
+void Write(const AbsentAgents& m, Builder message) {
+  auto count =
+      static_cast<uint32_t>(std::min(m.agents.size(), kMaxAbsentAgents));
+  auto agents = message.initAbsent().initAgents(count);
+  for (uint32_t i = 0; i < count; ++i) {
+    agents[i].setIp(m.agents[i].agent.ip);
+    agents[i].setPort(m.agents[i].agent.port);
+    agents[i].setService(Value(m.agents[i].service));
+    agents[i].setLeaving(m.agents[i].leaving);
+    agents[i].setHeardAgoMs(static_cast<uint32_t>(
+        std::clamp<int64_t>(m.agents[i].heard_ago.count(), 0, UINT32_MAX)));
+  }
+}
+
+bool Read(generated::AbsentAgents::Reader in, PacketMessage& out) {
+  if (in.getAgents().size() > kMaxAbsentAgents) {
+    return false;
+  }
+  AbsentAgents absent;
+  for (auto agent : in.getAgents()) {
+    absent.agents.push_back({.agent = {agent.getIp(), agent.getPort()},
+                             .service = base::ServiceId{agent.getService()},
+                             .leaving = agent.getLeaving(),
+                             .heard_ago = base::Millis(agent.getHeardAgoMs())});
+  }
+  out = std::move(absent);
+  return true;
+}
+
 bool ReadMessage(generated::PacketMessage::Reader in, PacketMessage& out) {
   switch (in.which()) {
     case generated::PacketMessage::FORWARD:
@@ -222,6 +253,8 @@
       return Read(in.getHello(), out);
     case generated::PacketMessage::LOCATED:
       return Read(in.getLocated(), out);
+    case generated::PacketMessage::ABSENT:
+      return Read(in.getAbsent(), out);
   }
   return false;  // message type of a newer release
 }
--- a/filberthollow/wire/packet_codec.h
+++ b/filberthollow/wire/packet_codec.h
@@ -20,7 +20,8 @@
                                    decision::flows::Located,
                                    decision::flows::FlowAnswer,
                                    decision::flows::UpstreamReport,
-                                   decision::flows::BalancerHello>;
+                                   decision::flows::BalancerHello,
+                                   decision::flows::AbsentAgents>;
 
 // kMaxHelloBalancers is the maximum number of balancers in a BalancerHello, so
 // that it fits one datagram. The encoder truncates longer lists.
--- a/filberthollow/wire/packet_codec_test.cc
+++ b/filberthollow/wire/packet_codec_test.cc
@@ -40,7 +40,10 @@
                                      .run = 12,
                                      .leaving = true,
                                      .balancers = {{1, 2}, {3, 4}},
-                                     .newcomer = {5, 6}}};
+                                     .newcomer = {5, 6}},
+      decision::flows::AbsentAgents{
+          {{{1, 2}, base::ServiceId{7}, true, base::Millis(300)},
+           {{3, 4}, base::ServiceId{8}, false, base::Millis(0)}}}};
 }
 
 BOOST_AUTO_TEST_CASE(PacketMessagesRoundTrip) {
--- a/filberthollow/wire/packets.capnp
+++ b/filberthollow/wire/packets.capnp
@@ -82,6 +82,18 @@
   newcomerPort @6 :UInt16;
 }
 
+struct AbsentAgent {
+  service @0 :UInt64;
+  ip @1 :UInt32;
+  heardAgoMs @2 :UInt32;
+  port @3 :UInt16;
+  leaving @4 :Bool;
+}
+
+struct AbsentAgents {
+  agents @0 :List(AbsentAgent);
+}
+
 struct PacketMessage {
   union {
     forward @0 :Forward;
@@ -90,5 +102,6 @@
     report @3 :UpstreamReport;
     hello @4 :BalancerHello;
     located @5 :Located;
+    absent @6 :AbsentAgents;
   }
 }
