Notice a pause before the first packet after it

Callers could see: after a balancer had not run for a while, its first packets reset open flows whose agents had reported all the time. Cause: the router noticed a pause of its own process at its next tick only. The loop may hand it the callers' packets first; all agents then seem silent, a repeatable request starts a search, the agents count as lost, and the second packet ends the search with a reset (flow_lost). Same class as the flows of agents that a new balancer does not know: missing knowledge taken for knowledge. Change: the router looks for a pause whenever a packet or an answer arrives. Times are moved to the present at most, so that a report that was read first isn't counted twice.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -141,6 +141,7 @@
                                 const PacketHeader& header,
                                 base::Millis now,
                                 RouterActions& actions) {
+  CheckPause(now, actions);
   if (header.AsksToOpen()) {
     OnOpening(packet, header, now, actions);
   } else {
@@ -291,6 +292,7 @@
                           base::Address agent,
                           base::Millis now,
                           RouterActions& actions) {
+  CheckPause(now, actions);
   NoteLoad(agent, answer.load, now);
   auto offer = m_offers.find(answer.flow);
   if (answer.holding == Holding::kHeld) {
@@ -374,21 +376,27 @@
   });
 }
 
-void FlowRouter::OnTick(base::Millis now, RouterActions& actions) {
+bool FlowRouter::CheckPause(base::Millis now, RouterActions& actions) {
   base::Millis gap = now - m_last_tick;
+  if (gap <= kMaxTickGap) {
+    return false;
+  }
   m_last_tick = now;
-  if (gap > kMaxTickGap) {
-    // This process was paused, so missing messages do not mean that the
-    // agents were silent.
-    for (auto& [address, agent] : m_agents) {
-      agent.heard_at = agent.heard_at + gap;
-      if (agent.asked_at != base::kNever) {
-        agent.asked_at = agent.asked_at + gap;
-      }
+  for (auto& [address, agent] : m_agents) {
+    agent.heard_at = std::min(agent.heard_at + gap, now);
+    if (agent.asked_at != base::kNever) {
+      agent.asked_at = std::min(agent.asked_at + gap, now);
     }
-    actions.emplace_back(ProcessPaused{gap});
+  }
+  actions.emplace_back(ProcessPaused{gap});
+  return true;
+}
+
+void FlowRouter::OnTick(base::Millis now, RouterActions& actions) {
+  if (CheckPause(now, actions)) {
     return;
   }
+  m_last_tick = now;
   CheckIsolation(now);
   NoteSilence(now, actions);
   TickOffers(now, actions);
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -224,7 +224,9 @@
   // one knows already are ignored. Flows of the others are not taken for lost
   // only because this balancer has not heard of their agents.
   void OnAbsentAgents(const AbsentAgents& absent, base::Millis now);
-  // OnTick handles timeouts. It must be called again after each TickDelay().
+  // OnTick handles timeouts. It must be called again after each TickDelay(). If
+  // it is called much later, this process was paused; so was it if any other
+  // method is called much later than the last tick.
   void OnTick(base::Millis now, RouterActions& actions);
   base::Millis TickDelay() const {
     return m_offers.empty() && m_searches.empty() ? kIdleTick : kBusyTick;
@@ -291,6 +293,10 @@
     size_t CountAgents(Matches matches) const;
     base::Address UndecidedAgent() const;
   };
+  // Notices whether this process was paused: it could not receive the messages
+  // of agents, which may be read only after the caller's packets. Moves the
+  // times at which agents were heard by the gap. Returns whether there was one.
+  bool CheckPause(base::Millis now, RouterActions& actions);
   template <class Value>
   using ByFlow = std::unordered_map<flow::FlowEnds, Value, flow::FlowEndsHash>;
 
--- a/filberthollow/decision/flows/flow_router_searches.cc
+++ b/filberthollow/decision/flows/flow_router_searches.cc
@@ -176,6 +176,7 @@
                            base::Address agent,
                            base::Millis now,
                            RouterActions& actions) {
+  CheckPause(now, actions);
   NoteLoad(agent, located.load, now);
   for (const FlowHolding& answer : located.flows) {
     if (answer.holding == Holding::kHeld) {
--- a/filberthollow/decision/flows/flow_router_test.cc
+++ b/filberthollow/decision/flows/flow_router_test.cc
@@ -710,6 +710,21 @@
   BOOST_TEST(!router.IsReady(now));
 }
 
+// Guards against a balancer that resets open flows after it did not run for a
+// while: it handles the datagrams that have arrived meanwhile before its first
+// tick.
+BOOST_FIXTURE_TEST_CASE(PausedBalancerResetsNoFlow, IdempotentFlow) {
+  Report(kSecondAgent);
+  now = now + FlowRouter::kMinSilence * 5;
+  for (uint32_t sequence : {101U, 601U, 1101U}) {
+    data.sequence = sequence;
+    RouterActions end = FromCaller(data);
+    BOOST_TEST(ActionsOfType<ResetCaller>(end).empty());
+    BOOST_TEST(ActionsOfType<SendForward>(end).size() == 1U);
+  }
+  BOOST_TEST(ActionsOfType<AgentSilence>(AdvanceTime(kStep, {})).empty());
+}
+
 // A balancer that has restarted while the store of the configuration is away.
 struct Unconfigured : Fixture {
   Unconfigured() { router.SetRoutes(std::make_shared<RouteTable>()); }
