Don't take an upstream that sends packets for absent

Callers could see: an open flow was reset while its upstream served it, two heartbeat intervals and half a second after its agent had restarted. Cause: an agent took its upstream for absent if no heartbeat had arrived by then, also while the upstream's packets passed through it. It denied all flows that it had not seen yet and reported that it had no upstream, so that balancers reset them. Same class as the agents that a new balancer does not know. Evidence: UpstreamThatSendsPacketsIsNotAbsent failed before (state gone, flow not held instead of unsure). Change: whatever the upstream sends starts the time anew after which it counts as absent.

--- a/filberthollow/decision/flows/upstream_gate_test.cc
+++ b/filberthollow/decision/flows/upstream_gate_test.cc
@@ -341,6 +341,23 @@
   BOOST_TEST((gate.Report(now).state == UpstreamState::kReady));
 }
 
+// Guards against an agent that restarts beside a running upstream, misses its
+// heartbeats and denies that the upstream holds its flows.
+BOOST_AUTO_TEST_CASE(UpstreamThatSendsPacketsIsNotAbsent) {
+  Fixture f(/*first_start=*/false);
+  flow::PacketHeader other = UpstreamData(kUpstreamInitialSequence + 1, 100);
+  ++other.destination.port;  // of another flow
+  Millis absent_after = Millis(1000) * UpstreamLiveness::kAbsentHeartbeats +
+                        UpstreamLiveness::kAbsentSlack;
+  f.now = f.now + absent_after;
+  f.FromUpstream(other);
+  f.now = f.now + Millis(1);
+  BOOST_TEST((f.gate.Report(f.now).state == UpstreamState::kUnknown));
+  BOOST_TEST((f.AskHolding() == Holding::kUnsure));
+  f.now = f.now + absent_after;
+  BOOST_TEST((f.gate.Report(f.now).state == UpstreamState::kGone));
+}
+
 // After a power failure, the host of a removed upstream is stopped again soon
 // after its start. Guards against its last report: "leaving" with an upstream
 // that was never heard. Balancers then waited for the agent's answers for 30 s,
--- a/filberthollow/decision/flows/upstream_life.cc
+++ b/filberthollow/decision/flows/upstream_life.cc
@@ -10,7 +10,6 @@
                                    base::Millis now)
     : m_service(service),
       m_absent_after(heartbeat_interval * kAbsentHeartbeats + kAbsentSlack),
-      m_created(now),
       m_last_activity(now) {}
 
 uint64_t UpstreamLiveness::run() const {
@@ -18,7 +17,8 @@
 }
 
 bool UpstreamLiveness::IsAbsent(base::Millis now) const {
-  return m_state == UpstreamState::kUnknown && now - m_created > m_absent_after;
+  // A restarted agent may miss heartbeats of an upstream whose flows it serves.
+  return m_state == UpstreamState::kUnknown && HeardAgo(now) > m_absent_after;
 }
 
 HeartbeatOutcome UpstreamLiveness::OnHeartbeat(const UpstreamHeartbeat& beat,
--- a/filberthollow/decision/flows/upstream_life.h
+++ b/filberthollow/decision/flows/upstream_life.h
@@ -74,9 +74,8 @@
   // opening packet, unless a heartbeat arrives first. A host whose upstream is
   // down bounces every packet, and each attempt delays a caller.
   static constexpr base::Millis kRefusalBackoff{500};
-  // The upstream is considered absent if no heartbeat has arrived within
-  // kAbsentHeartbeats heartbeat intervals plus kAbsentSlack after the agent's
-  // start.
+  // The upstream is considered absent if no heartbeat has ever arrived, and
+  // nothing else for kAbsentHeartbeats heartbeat intervals plus kAbsentSlack.
   static constexpr int64_t kAbsentHeartbeats = 2;
   static constexpr base::Millis kAbsentSlack{500};
 
@@ -129,7 +128,7 @@
     return m_shutdown_announced_at != base::kNever;
   }
   // Returns whether the agent appears to have no upstream: none has sent a
-  // heartbeat in time after the agent's start.
+  // heartbeat or a packet in time.
   bool IsAbsent(base::Millis now) const;
   base::Millis HeardAgo(base::Millis now) const {
     return now - m_last_activity;
@@ -143,7 +142,6 @@
  private:
   const base::ServiceId m_service;
   const base::Millis m_absent_after;
-  const base::Millis m_created;
 
   UpstreamState m_state = UpstreamState::kUnknown;
   std::string m_id;
