Serve open flows of routes that this balancer does not know yet

Callers could see: an open flow on a route that had just been added was reset by a balancer that did not have that configuration yet. Cause: a balancer without a route for a packet took the route for removed, also while its configuration was older than that under which another balancer had opened the flow (its watch refused, or itself just started). Same class as the agents that a new balancer does not know. Evidence: FlowOfRouteThatIsNotKnownYetIsServed failed before (reset no_route, no question to any agent). Change: while an agent reports a newer configuration, such flows are searched for like those of a balancer without a configuration. New flows are still reset, since only the configuration tells their service.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -90,6 +90,7 @@
                           base::Address agent,
                           base::Millis now) {
   m_longest_interval = std::max(m_longest_interval, report.interval);
+  m_newest_revision = std::max(m_newest_revision, report.revision);
   auto [known, added] = m_agents.try_emplace(agent);
   m_agents_added += added ? 1 : 0;
   bool starts_leaving = report.leaving && !known->second.report.leaving;
@@ -248,7 +249,7 @@
                               RouterActions& actions) {
   FlowEnds ends = header.FromCaller();
   const CompiledRoute* route = m_routes->Find(ends.route);
-  if (HasRoutes() && route == nullptr) {
+  if (HasRoutes() && route == nullptr && !IsBehind()) {
     // The route was removed from the configuration, which ends its flows.
     m_known_flows.erase(ends);
     actions.emplace_back(
@@ -374,6 +375,10 @@
   std::erase_if(m_agents, [&](const auto& entry) {
     return now - entry.second.heard_at > kAgentExpiry;
   });
+  m_newest_revision = 0;
+  for (const auto& [address, agent] : m_agents) {
+    m_newest_revision = std::max(m_newest_revision, agent.report.revision);
+  }
 }
 
 bool FlowRouter::CheckPause(base::Millis now, RouterActions& actions) {
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -305,6 +305,9 @@
                  base::Millis now,
                  RouterActions& actions);
   bool HasRoutes() const { return m_routes->revision() > 0; }
+  // Returns whether an agent has reported a newer configuration. It may have
+  // routes that this balancer does not know, and flows opened on them.
+  bool IsBehind() const { return m_newest_revision > m_routes->revision(); }
   // Returns the upstreams of the service that may be offered the flow.
   std::vector<load::UpstreamCandidate> CandidatesFor(base::ServiceId service,
                                                      const Offer& offer,
@@ -434,7 +437,9 @@
   LocateQueue m_questions;
   base::Millis m_last_tick;
   base::Millis m_longest_interval{0};  // longest report interval of any agent
-  bool m_isolated = false;             // see kIsolationTimeout
+  // Newest revision of the configuration that any known agent has reported.
+  uint64_t m_newest_revision = 0;
+  bool m_isolated = false;  // see kIsolationTimeout
   base::Millis m_next_sweep{0};
 };
 
--- a/filberthollow/decision/flows/flow_router_test.cc
+++ b/filberthollow/decision/flows/flow_router_test.cc
@@ -725,6 +725,31 @@
   BOOST_TEST(ActionsOfType<AgentSilence>(AdvanceTime(kStep, {})).empty());
 }
 
+// Guards against a balancer that resets the flows of a route that it does not
+// know yet: another balancer has already opened flows under a newer
+// configuration.
+BOOST_FIXTURE_TEST_CASE(FlowOfRouteThatIsNotKnownYetIsServed, Fixture) {
+  WaitForDiscovery({kFirstAgent});
+  router.OnReport({.service = testing::kDesk,
+                   .state = UpstreamState::kReady,
+                   .revision = 6,
+                   .interval = Millis(200)},
+                  kFirstAgent, now);
+  flow::PacketHeader data = Data(101, 500);
+  data.destination = testing::kUnknownRoute;
+  RouterActions asked = FromCaller(data);
+  BOOST_TEST(ActionsOfType<ResetCaller>(asked).empty());
+  BOOST_TEST(ActionsOfType<SendLocate>(asked).size() == 1U);
+  router.OnLocated({.flows = {{data.FromCaller(), Holding::kHeld}}},
+                   kFirstAgent, now, actions);
+  BOOST_TEST(ActionsOfType<SendForward>(Take()).size() == 1U);
+  // Once it has that configuration, the balancer knows that there is no route.
+  router.SetRoutes(testing::TwoRoutes(6));
+  auto resets = ActionsOfType<ResetCaller>(FromCaller(data));
+  BOOST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST((resets[0].reason == Reason::kNoRoute));
+}
+
 // A balancer that has restarted while the store of the configuration is away.
 struct Unconfigured : Fixture {
   Unconfigured() { router.SetRoutes(std::make_shared<RouteTable>()); }
