Let the stand-in platform come back from a copy

Seen: the platform's store may return from a copy some seconds old. Its revisions go back and are given out again, a watch from a revision that it does not have gets 410, and the header Store-Era rises by one. Change: POST /copy and POST /restore, the era in each answer of the object API, 410 for a watch from a later revision. net::HttpResponse has headers for this. The paths that control the stand-in are a table.

--- a/filberthollow/net/http.h
+++ b/filberthollow/net/http.h
@@ -21,6 +21,7 @@
 inline constexpr uint16_t kHttpBadRequest = 400;
 inline constexpr uint16_t kHttpNotFound = 404;
 inline constexpr uint16_t kHttpConflict = 409;
+inline constexpr uint16_t kHttpGone = 410;
 inline constexpr uint16_t kHttpUnavailable = 503;
 
 // HttpHeader is one header; the name is lower case and ends with a colon.
@@ -60,6 +61,8 @@
 struct HttpResponse {
   uint16_t status = kHttpOk;
   std::string content_type = "application/json";
+  // Besides status, content type and content length; 900 bytes at most.
+  std::vector<HttpHeader> headers;
   std::string body;
   friend bool operator==(const HttpResponse&, const HttpResponse&) = default;
 };
--- a/filberthollow/net/http_server.cc
+++ b/filberthollow/net/http_server.cc
@@ -66,6 +66,10 @@
   return query;
 }
 
+const unsigned char* AsBytes(const std::string& text) {
+  return reinterpret_cast<const unsigned char*>(text.c_str());
+}
+
 HttpServerRequest ReadHead(lws* wsi) {
   HttpServerRequest request;
   for (const MethodToken& row : kMethods) {
@@ -215,6 +219,17 @@
     return recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
   }
 
+  static bool AddHeaders(lws* wsi,
+                         const std::vector<HttpHeader>& headers,
+                         unsigned char** position,
+                         unsigned char* end) {
+    return std::all_of(headers.begin(), headers.end(), [&](const auto& header) {
+      return lws_add_http_header_by_name(
+                 wsi, AsBytes(header.name), AsBytes(header.value),
+                 static_cast<int>(header.value.size()), position, end) == 0;
+    });
+  }
+
   static int WriteHead(lws* wsi, const HttpResponse& response) {
     std::array<unsigned char, LWS_PRE + kHeaderBufferBytes> buffer{};
     unsigned char* start = buffer.data() + LWS_PRE;
@@ -223,6 +238,7 @@
     if (lws_add_http_common_headers(
             wsi, response.status, response.content_type.c_str(),
             response.body.size(), &position, end) != 0 ||
+        !AddHeaders(wsi, response.headers, &position, end) ||
         lws_finalize_write_http_header(wsi, start, &position, end) != 0) {
       return -1;
     }
--- a/filberthollow/standins/platform_task.cc
+++ b/filberthollow/standins/platform_task.cc
@@ -2,7 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 
 #include "filberthollow/platform/http_object_store.h"
@@ -14,6 +16,7 @@
 using platform::kObjectsPath;
 
 constexpr uint16_t kHttpCreated = 201;
+constexpr const char* kEraHeader = "store-era:";
 
 uint64_t ParseNumber(const std::string& text) {
   return text.empty() ? 0 : std::strtoull(text.c_str(), nullptr, 10);
@@ -32,14 +35,24 @@
 
 void PlatformTask::OnRequest(const net::HttpServerRequest& request,
                              const ResponderPtr& responder) {
-  if (request.path == "/faults") {
-    OnFaults(request, responder);
-  } else if (request.path == "/calls") {
-    json calls{{"reads", m_calls.reads},
-               {"writes", m_calls.writes},
-               {"watches", m_calls.watches}};
-    responder->Respond({.body = calls.dump()});
-  } else if (m_faults.down) {
+  struct ControlCall {
+    std::string_view path;
+    void (PlatformTask::*handle)(const net::HttpServerRequest&,
+                                 const ResponderPtr&);
+  };
+  static constexpr std::array<ControlCall, 4> kControlCalls{{
+      {"/faults", &PlatformTask::OnFaults},
+      {"/calls", &PlatformTask::OnCalls},
+      {"/copy", &PlatformTask::OnCopy},
+      {"/restore", &PlatformTask::OnRestore},
+  }};
+  for (const ControlCall& call : kControlCalls) {
+    if (request.path == call.path) {
+      (this->*call.handle)(request, responder);
+      return;
+    }
+  }
+  if (m_faults.down) {
     responder->Abort();
   } else if (m_faults.delay > base::Millis(0)) {
     loop().After(m_faults.delay, [this, request, responder] {
@@ -61,18 +74,47 @@
   m_faults.delay = base::Millis(faults.value("delay_ms", int64_t{0}));
   m_faults.lose_answers = faults.value("lose_answers", 0U);
   if (m_faults.down) {
-    for (const PendingWatch& pending : m_pending_watches) {
-      pending.responder->Abort();
-    }
-    m_pending_watches.clear();
+    AbortPendingWatches();
   }
   responder->Respond({.body = "{}"});
 }
 
+void PlatformTask::OnCalls(const net::HttpServerRequest& /*request*/,
+                           const ResponderPtr& responder) {
+  json calls{{"reads", m_calls.reads},
+             {"writes", m_calls.writes},
+             {"watches", m_calls.watches}};
+  responder->Respond({.body = calls.dump()});
+}
+
+void PlatformTask::OnCopy(const net::HttpServerRequest& /*request*/,
+                          const ResponderPtr& responder) {
+  m_copy = m_contents;
+  responder->Respond({.body = "{}"});
+}
+
+void PlatformTask::OnRestore(const net::HttpServerRequest& /*request*/,
+                             const ResponderPtr& responder) {
+  if (!m_copy) {
+    responder->Respond({.status = net::kHttpConflict, .body = "{}"});
+    return;
+  }
+  m_contents = *m_copy;
+  ++m_era;
+  AbortPendingWatches();
+  responder->Respond({.body = "{}"});
+}
+
+void PlatformTask::Answer(const ResponderPtr& responder,
+                          net::HttpResponse response) const {
+  response.headers.push_back({kEraHeader, std::to_string(m_era)});
+  responder->Respond(std::move(response));
+}
+
 void PlatformTask::HandleObjectCall(const net::HttpServerRequest& request,
                                     const ResponderPtr& responder) {
   if (!request.path.starts_with(kObjectsPath)) {
-    responder->Respond({.status = net::kHttpNotFound, .body = "{}"});
+    Answer(responder, {.status = net::kHttpNotFound, .body = "{}"});
     return;
   }
   std::string object_path = request.path.substr(kObjectsPath.size());
@@ -102,25 +144,25 @@
 }
 
 void PlatformTask::OnRead(const ObjectKey& key, const ResponderPtr& responder) {
-  auto object = m_objects.find(key);
-  if (object == m_objects.end() || object->second.deleted) {
-    responder->Respond({.status = net::kHttpNotFound, .body = "{}"});
+  auto object = m_contents.objects.find(key);
+  if (object == m_contents.objects.end() || object->second.deleted) {
+    Answer(responder, {.status = net::kHttpNotFound, .body = "{}"});
     return;
   }
-  responder->Respond({.body = ObjectJson(key, object->second)});
+  Answer(responder, {.body = ObjectJson(key, object->second)});
 }
 
 void PlatformTask::OnList(const std::string& kind,
                           const ResponderPtr& responder) {
   std::string items;
-  for (const auto& [key, object] : m_objects) {
+  for (const auto& [key, object] : m_contents.objects) {
     if (key.kind == kind && !object.deleted) {
       items += (items.empty() ? "" : ",") + ObjectJson(key, object);
     }
   }
-  responder->Respond(
-      {.body = fmt::format(R"({{"items":[{}],"hasMore":false,"at":{}}})", items,
-                           m_revision)});
+  Answer(responder,
+         {.body = fmt::format(R"({{"items":[{}],"hasMore":false,"at":{}}})",
+                              items, m_contents.revision)});
 }
 
 void PlatformTask::OnWrite(ObjectKey key,
@@ -133,19 +175,19 @@
     expected = body["meta"].value("revision", expected);
     key.name = create ? body["meta"].value("name", "") : key.name;
   }
-  auto found = m_objects.find(key);
-  bool exists = found != m_objects.end() && !found->second.deleted;
+  auto found = m_contents.objects.find(key);
+  bool exists = found != m_contents.objects.end() && !found->second.deleted;
   if (!create && !exists) {
-    responder->Respond({.status = net::kHttpNotFound, .body = "{}"});
+    Answer(responder, {.status = net::kHttpNotFound, .body = "{}"});
     return;
   }
   if (exists && (create || found->second.revision != expected)) {
-    responder->Respond(
-        {.status = net::kHttpConflict, .body = ObjectJson(key, found->second)});
+    Answer(responder, {.status = net::kHttpConflict,
+                       .body = ObjectJson(key, found->second)});
     return;
   }
-  Object& object = m_objects[key];
-  object.revision = ++m_revision;
+  Object& object = m_contents.objects[key];
+  object.revision = ++m_contents.revision;
   object.deleted = request.method == "DELETE";
   if (!object.deleted) {
     object.spec = body.is_object() ? body["spec"].dump() : "null";
@@ -156,8 +198,8 @@
     responder->Abort();
     return;
   }
-  responder->Respond({.status = create ? kHttpCreated : net::kHttpOk,
-                      .body = ObjectJson(key, object)});
+  Answer(responder, {.status = create ? kHttpCreated : net::kHttpOk,
+                     .body = ObjectJson(key, object)});
 }
 
 void PlatformTask::OnWatch(const std::string& kind,
@@ -165,8 +207,12 @@
                            const ResponderPtr& responder) {
   uint64_t after_revision = ParseNumber(request.Parameter("watch"));
   uint64_t wait = ParseNumber(request.Parameter("waitMs"));
+  if (after_revision > m_contents.revision) {
+    Answer(responder, {.status = net::kHttpGone, .body = "{}"});
+    return;
+  }
   if (wait == 0 || HasChanges(kind, after_revision)) {
-    responder->Respond({.body = ChangesJson(kind, after_revision)});
+    Answer(responder, {.body = ChangesJson(kind, after_revision)});
     return;
   }
   m_pending_watches.push_back({kind, after_revision, responder});
@@ -175,17 +221,16 @@
         [raw](const PendingWatch& w) { return w.responder.get() == raw; });
   };
   responder->SetOnClosed(remove_watch);
-  loop().After(
-      base::Millis(static_cast<int64_t>(wait)),
-      [this, remove_watch, responder, kind, after_revision] {
-        responder->Respond({.body = ChangesJson(kind, after_revision)});
-        remove_watch();
-      });
+  loop().After(base::Millis(static_cast<int64_t>(wait)),
+               [this, remove_watch, responder, kind, after_revision] {
+                 Answer(responder, {.body = ChangesJson(kind, after_revision)});
+                 remove_watch();
+               });
 }
 
 bool PlatformTask::HasChanges(const std::string& kind,
                               uint64_t after_revision) const {
-  for (const auto& [key, object] : m_objects) {
+  for (const auto& [key, object] : m_contents.objects) {
     if (object.revision > after_revision && key.kind == kind) {
       return true;
     }
@@ -196,22 +241,23 @@
 std::string PlatformTask::ChangesJson(const std::string& kind,
                                       uint64_t after_revision) const {
   std::string events;
-  for (const auto& [key, object] : m_objects) {
+  for (const auto& [key, object] : m_contents.objects) {
     if (object.revision > after_revision && key.kind == kind) {
       events += fmt::format(R"({}{{"removed":{},"object":{}}})",
                             events.empty() ? "" : ",", object.deleted,
                             ObjectJson(key, object));
     }
   }
-  return fmt::format(R"({{"events":[{}],"at":{}}})", events, m_revision);
+  return fmt::format(R"({{"events":[{}],"at":{}}})", events,
+                     m_contents.revision);
 }
 
 void PlatformTask::AnswerPendingWatches() {
   for (auto pending = m_pending_watches.begin();
        pending != m_pending_watches.end();) {
     if (HasChanges(pending->kind, pending->after_revision)) {
-      pending->responder->Respond(
-          {.body = ChangesJson(pending->kind, pending->after_revision)});
+      Answer(pending->responder,
+             {.body = ChangesJson(pending->kind, pending->after_revision)});
       pending = m_pending_watches.erase(pending);
     } else {
       ++pending;
@@ -219,4 +265,11 @@
   }
 }
 
+void PlatformTask::AbortPendingWatches() {
+  for (const PendingWatch& pending : m_pending_watches) {
+    pending.responder->Abort();
+  }
+  m_pending_watches.clear();
+}
+
 }  // namespace filberthollow::standins
--- a/filberthollow/standins/platform_task.h
+++ b/filberthollow/standins/platform_task.h
@@ -8,13 +8,26 @@
 //   GET  /calls  -> {"reads": n, "writes": n, "watches": n}
 //
 // Each POST to /faults replaces all faults; a field left out means no such
-// fault. The two paths above are served during an outage too.
+// fault.
+//
+// The store can be restored from an older copy of itself:
+//
+//   POST /copy     copies the objects and the revision counter
+//   POST /restore  returns to that copy, so that later revisions are given out
+//                  again, and aborts the watches that wait; 409 without a copy
+//
+// Every answer of the object API has the header "Store-Era", which starts at 1
+// and rises by one with each restore. A watch from a revision that the store
+// does not have yet gets 410. GET /calls counts calls of the object API only.
+//
+// The four paths above are served during an outage too.
 #ifndef FILBERTHOLLOW_STANDINS_PLATFORM_TASK_H_
 #define FILBERTHOLLOW_STANDINS_PLATFORM_TASK_H_
 
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "filberthollow/net/http_server.h"
@@ -55,6 +68,12 @@
     uint64_t revision = 0;
     std::string spec;  // JSON text
     bool deleted = false;
+    friend bool operator==(const Object&, const Object&) = default;
+  };
+  struct Contents {
+    std::map<ObjectKey, Object> objects;
+    uint64_t revision = 0;  // of the last write
+    friend bool operator==(const Contents&, const Contents&) = default;
   };
   // A watch call that waits for a change after `after_revision`.
   struct PendingWatch {
@@ -75,12 +94,19 @@
 
   void OnRequest(const net::HttpServerRequest& request,
                  const ResponderPtr& responder);
-  // Handles a call of the object API. OnRequest itself serves /faults and
-  // /calls.
+  // Handles a call of the object API.
   void HandleObjectCall(const net::HttpServerRequest& request,
                         const ResponderPtr& responder);
   void OnFaults(const net::HttpServerRequest& request,
                 const ResponderPtr& responder);
+  void OnCalls(const net::HttpServerRequest& request,
+               const ResponderPtr& responder);
+  void OnCopy(const net::HttpServerRequest& request,
+              const ResponderPtr& responder);
+  void OnRestore(const net::HttpServerRequest& request,
+                 const ResponderPtr& responder);
+  // Answers a call of the object API, with the era of the store.
+  void Answer(const ResponderPtr& responder, net::HttpResponse response) const;
   void OnRead(const ObjectKey& key, const ResponderPtr& responder);
   void OnList(const std::string& kind, const ResponderPtr& responder);
   void OnWrite(ObjectKey key,
@@ -98,11 +124,13 @@
   bool HasChanges(const std::string& kind, uint64_t after_revision) const;
   // Answers and removes the watches that have changes to report.
   void AnswerPendingWatches();
+  void AbortPendingWatches();
 
   const base::Address m_address;
   net::HttpServer m_server;
-  std::map<ObjectKey, Object> m_objects;
-  uint64_t m_revision = 0;  // of the last write
+  Contents m_contents;
+  std::optional<Contents> m_copy;
+  uint64_t m_era = 1;
   std::list<PendingWatch> m_pending_watches;
   Faults m_faults;
   Calls m_calls;
