Test balancers against a store that comes back from a copy

Seen: in a drill, a change acknowledged after the store had come back from a copy was not in force in time.

--- a/filberthollow/platform/platform_fleet.py
+++ b/filberthollow/platform/platform_fleet.py
@@ -28,6 +28,7 @@
 ACK, RESET, FINISH, OPEN, BOUNCED = 1, 8, 16, 32, 128
 ROUTE, OTHER_ROUTE = "198.18.0.1", "198.18.0.2"
 ROUTE_PORT = 443
+OBJECTS = "/filberthollow/objects"
 HEARTBEAT_SECONDS = 0.3
 # Derived from the process id, so that several runs at the same time have
 # different addresses.
@@ -180,19 +181,19 @@
                 return received
         return None
 
-    def open(self, balancer, route=ROUTE):
+    def open(self, balancer, route=ROUTE, seconds=3):
         """Opens a flow from a new port; returns the port and the answer.
 
-        The answer is None if none arrives.
+        The answer is None if none arrives in time.
         """
         self.next_port += 1
         self.send(balancer, self.next_port, OPEN, route=route)
-        return self.next_port, self.receive(self.next_port)
+        return self.next_port, self.receive(self.next_port, seconds)
 
-    def send_request(self, balancer, port, accepted, data):
+    def send_request(self, balancer, port, accepted, data, route=ROUTE):
         # Sends data on a flow and returns the answer, or None. `accepted` is
         # the packet by which the upstream accepted the flow.
-        self.send(balancer, port, ACK, data, ack=accepted.seq + 1)
+        self.send(balancer, port, ACK, data, route, accepted.seq + 1)
         return self.receive(port)
 
 
@@ -209,14 +210,14 @@
         self.upstreams = []
         self.caller = Caller(f"{NET}.50")
         self.version = 0
+        self.configured_hosts = []
         self.configure([ROUTE])
         for host in self.balancers:
             self.start(host, "balancer")
 
     def close(self):
-        for process in self.running.values():
-            process.kill()
-            process.wait(10)
+        for host in self.running:
+            self.kill(host)
         for upstream in self.upstreams:
             upstream.stop()
         self.platform.kill()
@@ -224,26 +225,71 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def configure(self, hosts):
-        # Writes an operator's configuration with a route for each host.
+        """Writes an operator's configuration with a route for each host.
+
+        Returns the revision that the store gave it.
+        """
         self.version += 1
+        self.configured_hosts = hosts
+        return self.configure_again()
+
+    def configure_again(self):
+        """Writes the last configuration again, with the same version.
+
+        An operator does so after a restore. Returns the revision.
+        """
         spec = {"version": self.version,
                 "routes": [{"name": f"r-{host}", "host": host,
                             "pathPrefix": f"/{ROUTE_PORT}/", "kind": "safe",
-                            "service": "desk"} for host in hosts],
+                            "service": "desk"}
+                           for host in self.configured_hosts],
                 "services": [{"name": "desk", "healthPath": "/health",
                               "connectionLimit": 100}],
                 "limits": {"idleTimeoutMs": 15000}}
-        path = "/filberthollow/objects/config"
+        path = f"{OBJECTS}/config"
         meta = {"name": "main"}
-        if self.version > 1:
+        status, text = self.call_platform(f"{path}/main")
+        exists = status == 200
+        if exists:
             path += "/main"
-            text = http(self.platform.addresses["http"], path)[1]
             meta["revision"] = json.loads(text)["meta"]["revision"]
-        status, text = http(self.platform.addresses["http"], path,
-                            json.dumps({"meta": meta, "spec": spec}),
-                            "PUT" if self.version > 1 else "POST")
+        status, text = self.call_platform(
+            path, {"meta": meta, "spec": spec}, "PUT" if exists else "POST")
         if status not in (200, 201):
             raise RuntimeError(f"configuration refused: {status} {text}")
+        return json.loads(text)["meta"]["revision"]
+
+    def call_platform(self, path, body=None, method=None):
+        """Returns (status, text) of a call to the platform."""
+        return http(self.platform.addresses["http"], path,
+                    None if body is None else json.dumps(body), method)
+
+    def copy_store(self):
+        """Copies the platform's store, for restore_store()."""
+        self._control_platform("/copy")
+
+    def restore_store(self):
+        """Returns the platform's store to its copy."""
+        self._control_platform("/restore")
+
+    def _control_platform(self, path):
+        status, _ = self.call_platform(path, {}, "POST")
+        if status != 200:
+            raise RuntimeError(f"POST {path} refused: {status}")
+
+    def platform_calls(self):
+        """Returns the number of object calls by kind (platform_task.h)."""
+        return json.loads(self.call_platform("/calls")[1])
+
+    def bootstrap_entries(self):
+        """Returns the names of the balancers' entries at the platform."""
+        text = self.call_platform(f"{OBJECTS}/filberthollow-bootstrap")[1]
+        return {item["meta"]["name"] for item in json.loads(text)["items"]}
+
+    def kill(self, host):
+        """Kills the process of a host and waits for its end."""
+        self.running[host].kill()
+        self.running[host].wait(10)
 
     def start(self, host, role, first_start="true"):
         self.write_settings(host, role, first_start, self.balancers[0],
