Order the operator's configuration by its own version

Cause: processes ordered versions of an object by the store's revision. After the restore, revisions start lower and are given out again: the new configuration came with a lower revision than the held one and was ignored, by the watch and by all comparisons between balancers and agents. Had it been accepted, the older configuration in the copy would have been accepted as well. Class: an order taken from a counter that can go back. Change: versions of the store contain its generation (Store-Era), so that they never decrease; a watch from a revision of an earlier generation lists the kind again; conditional writes never use a revision of an earlier one. The operator's configuration is ordered by the version that it contains, which the operator raises with each change: what the copy brings back is older, what is written again is the same, and a later change is newer, whichever revisions they have. This is also the revision that processes compare. platform_restored is logged.

--- a/filberthollow/config/config.cc
+++ b/filberthollow/config/config.cc
@@ -3,8 +3,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <string_view>
+#include <utility>
 
 #include "filberthollow/settings/json_reader.h"
 #include "filberthollow/settings/tree_json.h"
@@ -133,7 +135,7 @@
 
 base::Result<base::Done> ConfigState::ApplyObject(
     const platform::StoredObject& object,
-    settings::Snapshot& updated,
+    ConfigSnapshot& updated,
     ConfigChange& change) {
   if (object.name == platform::kKeysObject) {
     auto keys = ParseKeyRing(object.value.value_or(""), base::WallMillis());
@@ -144,15 +146,6 @@
     change.keys = true;
     return base::Done{};
   }
-  if (object.name == platform::kSnapshotObject) {
-    auto parsed = m_read_snapshot(object.value.value_or("{}"), object.name);
-    if (!parsed) {
-      return parsed.error();
-    }
-    updated = std::move(*parsed);
-    change.snapshot = true;
-    return base::Done{};
-  }
   if (object.name == platform::kRootObject) {
     change.snapshot = true;
     return ApplyRoot(object, updated.tree);
@@ -170,32 +163,51 @@
   m_keys = m_keys.At(wall_now);
 }
 
+base::Result<base::Done> ConfigState::ApplyIfNewer(
+    platform::StoredObject object,
+    ConfigSnapshot& updated,
+    ConfigChange& change) {
+  std::optional<settings::Snapshot> snapshot;
+  if (object.name == platform::kSnapshotObject) {
+    auto read = m_read_snapshot(object.value.value_or("{}"), object.name);
+    if (!read) {
+      return read.error();
+    }
+    if (read->version > 0) {
+      object.version = read->version;
+    }
+    snapshot = std::move(*read);
+  }
+  auto held = m_objects.find(object.name);
+  if (held != m_objects.end() && held->second.version >= object.version) {
+    return base::Done{};
+  }
+  m_objects[object.name] = object;
+  if (object.name.starts_with(platform::kTreePrefix)) {
+    updated.revision = std::max(updated.revision, object.version);
+  }
+  if (!snapshot) {
+    return ApplyObject(object, updated, change);
+  }
+  updated.tree = std::move(snapshot->tree);
+  updated.routes = std::move(snapshot->routes);
+  updated.health_paths = std::move(snapshot->health_paths);
+  change.snapshot = true;
+  return base::Done{};
+}
+
 ConfigChange ConfigState::Apply(
     const std::vector<platform::StoredObject>& objects) {
   ConfigChange change;
-  settings::Snapshot updated{m_snapshot->tree, m_snapshot->routes,
-                             m_snapshot->health_paths};
+  ConfigSnapshot updated = *m_snapshot;
   for (const platform::StoredObject& object : objects) {
-    auto held = m_objects.find(object.name);
-    if (held != m_objects.end() && held->second.version >= object.version) {
-      continue;
-    }
-    m_objects[object.name] = object;
-    if (auto applied = ApplyObject(object, updated, change); !applied) {
+    if (auto applied = ApplyIfNewer(object, updated, change); !applied) {
       change.refused.push_back(applied.error());
     }
   }
-  uint64_t newest = m_snapshot->revision;
-  for (const platform::StoredObject& object : objects) {
-    if (object.name.starts_with(platform::kTreePrefix)) {
-      newest = std::max(newest, object.version);
-    }
-  }
-  change.snapshot = change.snapshot || newest != m_snapshot->revision;
+  change.snapshot = change.snapshot || updated.revision != m_snapshot->revision;
   if (change.snapshot) {
-    m_snapshot = std::make_shared<const ConfigSnapshot>(ConfigSnapshot{
-        newest, std::move(updated.tree), std::move(updated.routes),
-        std::move(updated.health_paths)});
+    m_snapshot = std::make_shared<const ConfigSnapshot>(std::move(updated));
   }
   return change;
 }
--- a/filberthollow/config/config.h
+++ b/filberthollow/config/config.h
@@ -3,8 +3,11 @@
 //
 // ConfigState accepts versions of objects in any order and from any source, and
 // keeps the newest version of each object. Versions that are not newer are
-// ignored, so a slow watch or a stale peer cannot restore an older state. An
-// invalid object is reported, and the last valid version of it stays in use.
+// ignored, so a slow watch, a stale peer or a store that has come back from a
+// copy cannot restore an older state. A snapshot that names its version
+// (settings::Snapshot::version) is ordered by it, and other objects by the
+// version in the store. An invalid object is reported, and the last valid
+// version of it stays in use.
 //
 //   ConfigState state;
 //   ConfigChange change = state.Apply(objects);
@@ -72,7 +75,8 @@
       : m_read_snapshot(read_snapshot) {}
 
   // Applies objects that changed. The revision is the highest version that any
-  // object below platform::kTreePrefix has had so far, valid or not.
+  // object below platform::kTreePrefix has had so far, valid or not, except for
+  // an invalid snapshot, whose version isn't known.
   ConfigChange Apply(const std::vector<platform::StoredObject>& objects);
   // Applies a complete list of the objects that existed at `revision`. Objects
   // of an older version that are missing from the list are treated as deleted.
@@ -91,10 +95,15 @@
   }
 
  private:
+  // Applies an object if it is newer than the held one. Sets the members of
+  // `change` and, if the object belongs to the tree, the revision.
+  base::Result<base::Done> ApplyIfNewer(platform::StoredObject object,
+                                        ConfigSnapshot& updated,
+                                        ConfigChange& change);
   // Applies one object to `updated` or to m_keys, and sets the member of
   // `change` for it.
   base::Result<base::Done> ApplyObject(const platform::StoredObject& object,
-                                       settings::Snapshot& updated,
+                                       ConfigSnapshot& updated,
                                        ConfigChange& change);
 
   const SnapshotReader m_read_snapshot;
--- a/filberthollow/config/config_test.cc
+++ b/filberthollow/config/config_test.cc
@@ -48,6 +48,38 @@
   BOOST_TEST(DeskSlots(state) == 5u);
 }
 
+// Guards against a store that came back from a copy: it returned an older
+// configuration, and gave later ones lower versions than the held one had.
+BOOST_AUTO_TEST_CASE(SnapshotIsOrderedByTheVersionOfItsAuthor) {
+  ConfigState state;
+  auto deliver = [&state](uint64_t store_version, uint64_t author_version) {
+    settings::Snapshot snapshot{.version = author_version};
+    snapshot.tree.services["v" + std::to_string(author_version)];
+    return state
+        .Apply({{platform::kSnapshotObject, store_version,
+                 settings::SnapshotText(snapshot)}})
+        .snapshot;
+  };
+  BOOST_TEST(deliver(20, 7));
+  BOOST_TEST(!deliver(platform::VersionOf(1, 15), 5));
+  BOOST_TEST(!deliver(platform::VersionOf(1, 16), 7));
+  BOOST_TEST(state.revision() == 7U);
+  BOOST_TEST(state.snapshot()->tree.services.contains("v7"));
+  BOOST_TEST(deliver(platform::VersionOf(1, 17), 9));
+  BOOST_TEST(state.snapshot()->tree.services.contains("v9"));
+}
+
+BOOST_AUTO_TEST_CASE(AnInvalidSnapshotDoesNotHideALaterOne) {
+  ConfigState state;
+  ConfigChange change =
+      state.Apply({{platform::kSnapshotObject, 30, R"({"version": "x"})"}});
+  BOOST_TEST(change.refused.size() == 1U);
+  BOOST_TEST(state.revision() == 0U);
+  change = state.Apply({{platform::kSnapshotObject, 31, R"({"version": 4})"}});
+  BOOST_TEST(change.snapshot);
+  BOOST_TEST(state.revision() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(ADeletedServiceIsRemoved) {
   ConfigState state;
   state.Apply({DeskObject(1, 5)});
--- a/filberthollow/config/fleet_config_task.cc
+++ b/filberthollow/config/fleet_config_task.cc
@@ -112,6 +112,7 @@
   }
   SetReachable(true, "");
   m_watch_retry.Reset();
+  LogNewGeneration(answer->revision);
   m_watched_revision = std::max(m_watched_revision, answer->revision);
   Publish(answer->complete
               ? m_state.ApplyFullState(answer->objects, answer->revision)
@@ -119,6 +120,18 @@
   Watch(kWatchWait);
 }
 
+void FleetConfigTask::LogNewGeneration(uint64_t revision) {
+  uint64_t generation = platform::GenerationOf(revision);
+  if (m_watched_revision > 0 &&
+      generation > platform::GenerationOf(m_watched_revision)) {
+    m_metrics.Add("platform_restored");
+    base::Log(Level::kWarning, "platform_restored",
+              {{"generation", generation},
+               {"revision", platform::RevisionOf(revision)},
+               {"revision_before", platform::RevisionOf(m_watched_revision)}});
+  }
+}
+
 void FleetConfigTask::Publish(const ConfigChange& change) {
   for (const base::Error& error : change.refused) {
     m_metrics.Add("config_refused");
--- a/filberthollow/config/fleet_config_task.h
+++ b/filberthollow/config/fleet_config_task.h
@@ -104,6 +104,9 @@
   // `wait`.
   void Watch(base::Millis wait);
   void OnWatched(const base::Result<platform::WatchAnswer>& answer);
+  // Logs that the store has come back from a copy, if `revision` is the first
+  // of a new generation.
+  void LogNewGeneration(uint64_t revision);
   // Logs the errors in `change` and calls the listeners of what changed.
   void Publish(const ConfigChange& change);
   // Passes the keys to the listeners and sets the timer that publishes them
--- a/filberthollow/net/http.h
+++ b/filberthollow/net/http.h
@@ -40,6 +40,8 @@
   std::string body;
   base::Millis timeout{5000};
   size_t max_response_bytes = 1 << 20;
+  // Name of a response header to return in HttpResult; empty for none.
+  std::string response_header;
   friend bool operator==(const HttpRequest&, const HttpRequest&) = default;
 };
 
@@ -54,6 +56,8 @@
   Kind kind = kNotSent;
   uint16_t status = 0;
   std::string body;
+  // Value of the header that the request asked for; empty if there is none.
+  std::string header_value;
   friend bool operator==(const HttpResult&, const HttpResult&) = default;
 };
 
--- a/filberthollow/net/http_client.cc
+++ b/filberthollow/net/http_client.cc
@@ -106,6 +106,19 @@
 
 }  // namespace
 
+std::string CustomHeader(lws* wsi, std::string_view name) {
+  int length =
+      lws_hdr_custom_length(wsi, name.data(), static_cast<int>(name.size()));
+  if (length <= 0) {
+    return "";
+  }
+  std::string value(static_cast<size_t>(length) + 1, '\0');
+  lws_hdr_custom_copy(wsi, value.data(), length + 1, name.data(),
+                      static_cast<int>(name.size()));
+  value.resize(static_cast<size_t>(length));
+  return value;
+}
+
 int OnHttpClient(lws* wsi,
                  lws_callback_reasons reason,
                  void* /*user*/,
@@ -128,6 +141,8 @@
     case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
       exchange->result.status =
           static_cast<uint16_t>(lws_http_client_http_response(wsi));
+      exchange->result.header_value =
+          CustomHeader(wsi, exchange->request.response_header);
       return 0;
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
       return ReadMore(wsi);
--- a/filberthollow/net/http_server.cc
+++ b/filberthollow/net/http_server.cc
@@ -7,11 +7,14 @@
 #include <array>
 #include <utility>
 
+#include "filberthollow/net/lws_protocols.h"
 #include "filberthollow/net/tcp_listener.h"
 
 namespace filberthollow::net {
 namespace {
 
+using internal::CustomHeader;
+
 constexpr size_t kWriteChunkBytes = 16384;
 constexpr size_t kHeaderBufferBytes = 1024;
 constexpr size_t kMaxParameterBytes = 512;
@@ -40,19 +43,6 @@
   return value;
 }
 
-std::string CustomHeader(lws* wsi, std::string_view name) {
-  int length =
-      lws_hdr_custom_length(wsi, name.data(), static_cast<int>(name.size()));
-  if (length <= 0) {
-    return "";
-  }
-  std::string value(static_cast<size_t>(length) + 1, '\0');
-  lws_hdr_custom_copy(wsi, value.data(), length + 1, name.data(),
-                      static_cast<int>(name.size()));
-  value.resize(static_cast<size_t>(length));
-  return value;
-}
-
 // libwebsockets stores each query parameter as a separate fragment.
 std::string QueryOf(lws* wsi) {
   std::string query;
--- a/filberthollow/net/lws_protocols.h
+++ b/filberthollow/net/lws_protocols.h
@@ -4,6 +4,9 @@
 
 #include <libwebsockets.h>
 
+#include <string>
+#include <string_view>
+
 namespace filberthollow::net::internal {
 
 inline constexpr const char* kHttpClientProtocol = "http-client";
@@ -15,6 +18,10 @@
                  void* in,
                  size_t len);
 
+// Returns the value of a header that libwebsockets has no token for, or "" if
+// the message has none. `name` is lower case and ends with a colon.
+std::string CustomHeader(lws* wsi, std::string_view name);
+
 }  // namespace filberthollow::net::internal
 
 #endif  // FILBERTHOLLOW_NET_LWS_PROTOCOLS_H_
--- a/filberthollow/platform/http_object_store.cc
+++ b/filberthollow/platform/http_object_store.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -12,8 +13,9 @@
 
 using nlohmann::json;
 
-constexpr uint16_t kHttpGone = 410;
 constexpr uint16_t kHttpTooManyRequests = 429;
+// Number of the store's generation; rises by one with each.
+constexpr const char* kGenerationHeader = "store-era:";
 
 // Maps the prefix of an object's name to the kind that holds the object on the
 // platform.
@@ -52,11 +54,13 @@
   return std::string(KindMappingFor(prefix).prefix) + platform_name;
 }
 
-StoredObject ParseObject(std::string_view prefix, const json& in) {
+StoredObject ParseObject(std::string_view prefix,
+                         uint64_t generation,
+                         const json& in) {
   const json& meta = in.at("meta");
   StoredObject object;
   object.name = FromPlatformName(prefix, meta.at("name").get<std::string>());
-  object.version = meta.at("revision").get<uint64_t>();
+  object.version = VersionOf(generation, meta.at("revision").get<uint64_t>());
   object.value = in.at("spec").dump();
   return object;
 }
@@ -66,7 +70,7 @@
                             const std::string& value) {
   json meta{{"name", ToPlatformName(name)}};
   if (if_version > 0) {
-    meta["revision"] = if_version;
+    meta["revision"] = RevisionOf(if_version);
   }
   json spec = json::parse(value, nullptr, false);
   return json{{"meta", meta},
@@ -106,6 +110,17 @@
 
 }  // namespace
 
+void HttpObjectStore::Start(net::HttpRequest request,
+                            net::HttpClient::Handler done) {
+  request.response_header = kGenerationHeader;
+  m_client.Start(std::move(request), [this, done = std::move(done)](
+                                         const net::HttpResult& result) {
+    const std::string& text = result.header_value;
+    std::from_chars(text.data(), text.data() + text.size(), m_generation);
+    done(result);
+  });
+}
+
 base::Error HttpObjectStore::MakeFailure(const net::HttpResult& result,
                                          std::string step) const {
   if (result.kind == net::HttpResult::kAnswered) {
@@ -125,7 +140,7 @@
                            .path = KindPath(name) + "/" + ToPlatformName(name),
                            .timeout = kCallTimeout,
                            .max_response_bytes = kMaxAnswerBytes};
-  m_client.Start(request, [this, name, done](const net::HttpResult& result) {
+  Start(request, [this, name, done](const net::HttpResult& result) {
     if (result.kind == net::HttpResult::kAnswered &&
         result.status == net::kHttpNotFound) {
       done(StoredObject{.name = name});
@@ -136,9 +151,10 @@
       done(MakeFailure(result, "read " + name));
       return;
     }
-    done(ParseBody<StoredObject>(
-        result, "read " + name, m_server,
-        [&name](const json& body) { return ParseObject(name, body); }));
+    done(ParseBody<StoredObject>(result, "read " + name, m_server,
+                                 [&](const json& body) {
+                                   return ParseObject(name, m_generation, body);
+                                 }));
   });
 }
 
@@ -147,6 +163,10 @@
                             const std::string& value,
                             Handler<WriteAnswer> done) {
   bool create = if_version == 0;
+  if (!create && GenerationOf(if_version) != m_generation) {
+    ReportConflict(name, std::move(done));
+    return;
+  }
   net::HttpRequest request{
       .server = m_server,
       .method = create ? "POST" : "PUT",
@@ -155,27 +175,32 @@
       .headers = {{"content-type:", "application/json"}},
       .body = MakeRequestBody(name, if_version, value),
       .timeout = kCallTimeout};
-  m_client.Start(request, [this, name, done](const net::HttpResult& result) {
-    OnWriteResponse(result, name, done);
+  Start(request, [this, name, if_version, done](const auto& result) {
+    OnWriteResponse(result, name, if_version, done);
   });
 }
 
 void HttpObjectStore::Delete(const std::string& name,
                              uint64_t if_version,
                              Handler<WriteAnswer> done) {
+  if (GenerationOf(if_version) != m_generation) {
+    ReportConflict(name, std::move(done));
+    return;
+  }
   net::HttpRequest request{
       .server = m_server,
       .method = "DELETE",
       .path = fmt::format("{}/{}?revision={}", KindPath(name),
-                          ToPlatformName(name), if_version),
+                          ToPlatformName(name), RevisionOf(if_version)),
       .timeout = kCallTimeout};
-  m_client.Start(request, [this, name, done](const net::HttpResult& result) {
-    OnWriteResponse(result, name, done);
+  Start(request, [this, name, if_version, done](const auto& result) {
+    OnWriteResponse(result, name, if_version, done);
   });
 }
 
 void HttpObjectStore::OnWriteResponse(const net::HttpResult& result,
                                       const std::string& name,
+                                      uint64_t if_version,
                                       const Handler<WriteAnswer>& done) {
   bool answered = result.kind == net::HttpResult::kAnswered;
   bool refused = answered && (result.status == net::kHttpUnavailable ||
@@ -185,7 +210,14 @@
     return;
   }
   if (answered && result.status / 100 == 2) {
-    done(WriteAnswer{WriteAnswer::kWritten, ParseRevision(result.body)});
+    uint64_t revision = ParseRevision(result.body);
+    bool same_generation =
+        if_version == 0 || GenerationOf(if_version) == m_generation;
+    done(
+        same_generation
+            ? WriteAnswer{WriteAnswer::kWritten,
+                          revision == 0 ? 0 : VersionOf(m_generation, revision)}
+            : WriteAnswer{});
     return;
   }
   if (answered && result.status == net::kHttpNotFound) {
@@ -196,13 +228,18 @@
     done(WriteAnswer{});
     return;
   }
-  uint64_t current_version = ParseRevision(result.body);
-  if (current_version != 0) {
-    done(WriteAnswer{WriteAnswer::kConflict, current_version});
+  if (uint64_t revision = ParseRevision(result.body); revision != 0) {
+    done(
+        WriteAnswer{WriteAnswer::kConflict, VersionOf(m_generation, revision)});
     return;
   }
   // The answer to a rejected creation does not always contain the present
   // version, so it is read separately.
+  ReportConflict(name, done);
+}
+
+void HttpObjectStore::ReportConflict(const std::string& name,
+                                     Handler<WriteAnswer> done) {
   Read(name, [done](const base::Result<StoredObject>& object) {
     if (!object) {
       done(object.error());
@@ -220,22 +257,31 @@
                            .timeout = kCallTimeout,
                            .max_response_bytes = kMaxAnswerBytes};
   std::string step = "list " + listing->prefix;
-  m_client.Start(request, [this, listing, step](const auto& result) {
+  Start(request, [this, listing, step](const auto& result) {
     if (result.kind != net::HttpResult::kAnswered ||
         result.status != net::kHttpOk) {
       listing->done(MakeFailure(result, step));
       return;
     }
+    if (listing->answer.revision == 0) {
+      listing->generation = m_generation;
+    } else if (listing->generation != m_generation) {
+      // Pages of two generations don't make up a list.
+      listing->answer = {.complete = true};
+      ListPage(listing, "");
+      return;
+    }
     std::string continue_after;
     auto parsed =
         ParseBody<base::Done>(result, step, m_server, [&](const json& body) {
           // Pages may have different revisions. The lowest is reported, so that
           // the next watch returns changes made while later pages were read.
-          uint64_t at = body.at("at").get<uint64_t>();
+          uint64_t at = VersionOf(m_generation, body.at("at").get<uint64_t>());
           uint64_t& revision = listing->answer.revision;
           revision = revision == 0 ? at : std::min(revision, at);
           for (const json& item : body.at("items")) {
-            StoredObject object = ParseObject(listing->prefix, item);
+            StoredObject object =
+                ParseObject(listing->prefix, m_generation, item);
             continue_after = ToPlatformName(object.name);
             if (object.name.starts_with(listing->prefix)) {
               listing->answer.objects.push_back(std::move(object));
@@ -269,15 +315,21 @@
   net::HttpRequest request{
       .server = m_server,
       .path = fmt::format("{}?watch={}&waitMs={}", KindPath(query.prefix),
-                          query.after_revision, query.wait.count()),
+                          RevisionOf(query.after_revision), query.wait.count()),
       .timeout = kCallTimeout + query.wait,
       .max_response_bytes = kMaxAnswerBytes};
   std::string prefix = query.prefix;
-  m_client.Start(request, [this, listing, prefix, done](const auto& result) {
+  uint64_t generation = GenerationOf(query.after_revision);
+  Start(request, [this, listing, prefix, generation, done](const auto& result) {
     std::string step = "watch " + prefix;
-    if (result.kind == net::HttpResult::kAnswered &&
-        result.status == kHttpGone) {
-      ListPage(listing, "");  // The platform no longer has the changes.
+    bool answered = result.kind == net::HttpResult::kAnswered;
+    bool outdated =
+        result.status == net::kHttpGone ||
+        (result.status == net::kHttpOk && generation != m_generation);
+    if (answered && outdated) {
+      // The platform no longer has the changes, or the revision that was asked
+      // for stands for another state now.
+      ListPage(listing, "");
       return;
     }
     if (result.kind != net::HttpResult::kAnswered ||
@@ -286,9 +338,11 @@
       return;
     }
     done(ParseBody<WatchAnswer>(result, step, m_server, [&](const json& body) {
-      WatchAnswer answer{.revision = body.at("at").get<uint64_t>()};
+      WatchAnswer answer{
+          .revision = VersionOf(m_generation, body.at("at").get<uint64_t>())};
       for (const json& event : body.at("events")) {
-        StoredObject object = ParseObject(prefix, event.at("object"));
+        StoredObject object =
+            ParseObject(prefix, m_generation, event.at("object"));
         if (event.value("removed", false)) {
           object.value.reset();
           object.version = std::max(object.version, answer.revision);
--- a/filberthollow/platform/http_object_store.h
+++ b/filberthollow/platform/http_object_store.h
@@ -9,6 +9,9 @@
 //   PUT    /filberthollow/objects/KIND/NAME              replaces
 //   DELETE /filberthollow/objects/KIND/NAME?revision=R   deletes
 //
+// Each answer names the generation of the store (see VersionOf()) in the header
+// Store-Era.
+//
 // The platform groups objects into kinds. The object "config/tree/root" of
 // ObjectStore is stored as "tree~root", with each slash replaced by a tilde, in
 // the kind that a table assigns to the prefix "config/".
@@ -64,6 +67,7 @@
   // collects the objects whose names start with `prefix`.
   struct Listing {
     std::string prefix;
+    uint64_t generation = 0;  // in which the first page was read
     WatchAnswer answer;
     Handler<WatchAnswer> done;
   };
@@ -73,9 +77,17 @@
   void ListPage(const std::shared_ptr<Listing>& listing,
                 const std::string& after_name);
   // OnWriteResponse reports the outcome of a write or deletion.
+  // `if_version` is the version that the write required.
   void OnWriteResponse(const net::HttpResult& result,
                        const std::string& name,
+                       uint64_t if_version,
                        const Handler<WriteAnswer>& done);
+  // Start sends a request and passes its result to `done`, after m_generation
+  // was updated.
+  void Start(net::HttpRequest request, net::HttpClient::Handler done);
+  // ReportConflict reads the object's present version and reports it as the
+  // cause of a conflict.
+  void ReportConflict(const std::string& name, Handler<WriteAnswer> done);
   // MakeFailure returns the error for a request that failed or was answered
   // with an unexpected HTTP status.
   base::Error MakeFailure(const net::HttpResult& result,
@@ -83,6 +95,8 @@
 
   net::HttpClient& m_client;
   const base::Address m_server;
+  // Generation of the store in its last answer.
+  uint64_t m_generation = 0;
 };
 
 }  // namespace filberthollow::platform
--- a/filberthollow/platform/object_store.h
+++ b/filberthollow/platform/object_store.h
@@ -31,6 +31,25 @@
 inline constexpr const char* kSnapshotObject = "config/tree/snapshot";
 inline constexpr const char* kBootstrapPrefix = "bootstrap/";
 
+// A store that comes back from a copy has lost its last changes and gives out
+// their revisions again. Each time a new generation of the store begins.
+// Versions contain the generation, so that they never decrease:
+//
+//   uint64_t version = VersionOf(/*generation=*/2, /*revision=*/57);
+//   GenerationOf(version) == 2 && RevisionOf(version) == 57
+//
+// The text of a version stays readable: 2000000000057.
+inline constexpr uint64_t kGenerationStride = 1'000'000'000'000;
+constexpr uint64_t VersionOf(uint64_t generation, uint64_t revision) {
+  return generation * kGenerationStride + revision;
+}
+constexpr uint64_t GenerationOf(uint64_t version) {
+  return version / kGenerationStride;
+}
+constexpr uint64_t RevisionOf(uint64_t version) {
+  return version % kGenerationStride;
+}
+
 // StoredObject is one version of an object. All objects of the store share one
 // version counter, so versions also order the changes of different objects.
 struct StoredObject {
@@ -61,7 +80,8 @@
   std::vector<StoredObject> objects;
   // `objects` lists every existing object, so any other was deleted. This is
   // the case for a query after revision 0, and if the platform no longer has
-  // the changes since the revision that was asked for.
+  // the changes since the revision that was asked for, also since it is of an
+  // earlier generation of the store.
   bool complete = false;
   friend bool operator==(const WatchAnswer&, const WatchAnswer&) = default;
 };
@@ -94,7 +114,10 @@
   // Read passes the object to `done`; its value is nullopt if there is none.
   virtual void Read(const std::string& name, Handler<StoredObject> done) = 0;
   // Write replaces the value if the object's version is `if_version`, or
-  // creates the object if `if_version` is 0. `value` is JSON text.
+  // creates the object if `if_version` is 0. `value` is JSON text. A version of
+  // an earlier generation is a conflict, unless the platform gave out its
+  // revision again before this process knew of the new generation; the outcome
+  // is then kUnknown.
   virtual void Write(const std::string& name,
                      uint64_t if_version,
                      const std::string& value,
--- a/filberthollow/platform/operator_config.cc
+++ b/filberthollow/platform/operator_config.cc
@@ -48,7 +48,7 @@
 }
 
 base::Result<settings::Snapshot> ConvertConfig(const json& config) {
-  settings::Snapshot snapshot;
+  settings::Snapshot snapshot{.version = config.at("version").get<uint64_t>()};
   if (config.contains("limits") && config["limits"].contains("idleTimeoutMs")) {
     // Rounded up to whole seconds: it is better to keep a flow slightly longer
     // than to end it too early.
--- a/filberthollow/platform/platform_test.cc
+++ b/filberthollow/platform/platform_test.cc
@@ -118,6 +118,7 @@
   BOOST_TEST(*snapshot->tree.services.at("b").overrides.connections ==
              100'000U);
   BOOST_TEST(snapshot->health_paths.at("a") == "/health");
+  BOOST_TEST(snapshot->version == 7U);
   auto reparsed =
       settings::ParseSnapshot(settings::SnapshotText(*snapshot), "x");
   BOOST_REQUIRE(static_cast<bool>(reparsed));
@@ -126,8 +127,10 @@
 
 BOOST_AUTO_TEST_CASE(RejectsWholeConfigOnAnyError) {
   BOOST_TEST(!ParseOperatorConfig("{}", "x"));
+  BOOST_TEST(!ParseOperatorConfig(R"({"routes":[],"services":[]})", "x"));
   BOOST_TEST(!ParseOperatorConfig(
-      R"({"routes":[{"name":"r","host":"x","pathPrefix":"/1/",
+      R"({"version":1,
+          "routes":[{"name":"r","host":"x","pathPrefix":"/1/",
                      "service":"a"}],"services":[]})",
       "x"));
 }
--- a/filberthollow/settings/routes.cc
+++ b/filberthollow/settings/routes.cc
@@ -107,6 +107,16 @@
     routes = std::move((*parsed)["routes"]);
     parsed->erase("routes");
   }
+  uint64_t version = 0;
+  if (parsed->is_object() && parsed->contains("version")) {
+    if (!(*parsed)["version"].is_number_unsigned()) {
+      return base::MakeError(std::errc::invalid_argument, "read settings",
+                             std::string(source) + ".version",
+                             "expected a number");
+    }
+    version = (*parsed)["version"].get<uint64_t>();
+    parsed->erase("version");
+  }
   std::map<std::string, std::string> health_paths;
   if (parsed->is_object() && parsed->contains("health_paths")) {
     for (const auto& [service, path] : (*parsed)["health_paths"].items()) {
@@ -129,7 +139,8 @@
   if (!read) {
     return read.error();
   }
-  return Snapshot{std::move(*tree), std::move(*read), std::move(health_paths)};
+  return Snapshot{std::move(*tree), std::move(*read), std::move(health_paths),
+                  version};
 }
 
 std::string SnapshotText(const Snapshot& snapshot) {
@@ -139,6 +150,9 @@
     out["routes"].push_back(RouteJson(route));
   }
   out["health_paths"] = snapshot.health_paths;
+  if (snapshot.version > 0) {
+    out["version"] = snapshot.version;
+  }
   return out.dump();
 }
 
--- a/filberthollow/settings/routes.h
+++ b/filberthollow/settings/routes.h
@@ -6,7 +6,7 @@
 // routes and the health check paths form a snapshot, which is stored in one
 // object at the platform:
 //
-//   {"settings": {...}, "services": {...},
+//   {"version": 12, "settings": {...}, "services": {...},
 //    "routes": [{"name": "desk", "address": "198.18.0.1:443",
 //                "idempotent": false, "priority": 1,
 //                "latency_goal_ms": 250,
@@ -61,6 +61,9 @@
   std::vector<Route> routes;
   // Paths of the HTTP health checks, by service name.
   std::map<std::string, std::string> health_paths;
+  // Number that the author has given to this version, which grows with each
+  // change; 0 if there is none.
+  uint64_t version = 0;
   friend bool operator==(const Snapshot&, const Snapshot&) = default;
 };
 
