Write the bootstrap entry again after the store was restored

Operators would see: processes that start after the store has come back from a copy don't find balancers whose entries it has lost, if their seeds are stale. Cause: a balancer wrote its entry once, at its start. Change: it remembers the version of its entry and writes it again when the store is of a later generation, after a random delay so that a fleet of 1,000 stays within its share of the store's rate (StoreRetry::Spread).

--- a/filberthollow/config/fleet_config_task.cc
+++ b/filberthollow/config/fleet_config_task.cc
@@ -113,6 +113,7 @@
   SetReachable(true, "");
   m_watch_retry.Reset();
   LogNewGeneration(answer->revision);
+  RestoreBootstrapEntry(answer->revision);
   m_watched_revision = std::max(m_watched_revision, answer->revision);
   Publish(answer->complete
               ? m_state.ApplyFullState(answer->objects, answer->revision)
@@ -159,6 +160,17 @@
   m_activation.Arm(m_state.keys());
 }
 
+void FleetConfigTask::RestoreBootstrapEntry(uint64_t revision) {
+  bool lost =
+      m_entry_version > 0 && platform::GenerationOf(revision) >
+                                 platform::GenerationOf(m_entry_version);
+  if (lost) {
+    m_entry_version = 0;
+    loop().After(m_watch_retry.Spread(m_fleet_size),
+                 [this] { WriteBootstrapEntry(0); });
+  }
+}
+
 void FleetConfigTask::WriteBootstrapEntry(uint64_t if_version) {
   m_metrics.Add("platform_writes");
   std::string object =
@@ -171,6 +183,7 @@
       object, if_version, BootstrapText(*m_options.bootstrap_entry),
       [this, retry, if_version](const auto& answer) {
         if (answer && answer->kind == WriteAnswer::kWritten) {
+          m_entry_version = answer->version;
           ListBalancers();
         } else if (answer && answer->kind == WriteAnswer::kConflict) {
           // The entry is from an earlier run of this process, or from an
--- a/filberthollow/config/fleet_config_task.h
+++ b/filberthollow/config/fleet_config_task.h
@@ -2,7 +2,8 @@
 // configuration. It keeps the newest version of the configuration and passes
 // changes to listeners. It learns of changes by watching the platform's object
 // store, and from peers if the process does not watch or the watch is late. For
-// a balancer it also writes the bootstrap entry.
+// a balancer it also writes the bootstrap entry, again if the store has come
+// back from a copy.
 //
 // While the platform is unreachable, the last known configuration stays in use.
 // Failed calls are retried, soon if the process has no configuration yet; see
@@ -112,6 +113,9 @@
   // Passes the keys to the listeners and sets the timer that publishes them
   // again when the next key becomes active.
   void PublishKeys();
+  // Writes the bootstrap entry again if the store, now at `revision`, is of a
+  // later generation than the one in which it was written.
+  void RestoreBootstrapEntry(uint64_t revision);
   // Writes the bootstrap entry if its version at the platform is `if_version`
   // (0: it does not exist), then lists the balancers. Retries until it
   // succeeds.
@@ -132,6 +136,8 @@
   KeyActivationTimer m_activation;
   // Revision up to which the watch has delivered all changes.
   uint64_t m_watched_revision = 0;
+  // Version of the bootstrap entry at the platform; 0 until it is written.
+  uint64_t m_entry_version = 0;
   size_t m_fleet_size = 1;
   // Newest revision of a peer that was logged.
   uint64_t m_logged_peer_revision = 0;
--- a/filberthollow/config/store_retry.cc
+++ b/filberthollow/config/store_retry.cc
@@ -14,13 +14,21 @@
     : m_reads_per_second(std::max<uint64_t>(reads_per_second, 1)),
       m_random(seed) {}
 
+base::Millis StoreRetry::FleetDelay(size_t fleet_size) const {
+  return base::Millis(
+      static_cast<int64_t>(fleet_size * kMillisPerSecond * kPercent /
+                           (m_reads_per_second * kMaxReadPercent)));
+}
+
+base::Millis StoreRetry::Spread(size_t fleet_size) {
+  return base::Millis(std::uniform_int_distribution<int64_t>(
+      0, FleetDelay(fleet_size).count())(m_random));
+}
+
 base::Millis StoreRetry::Next(bool has_configuration, size_t fleet_size) {
   base::Millis delay = has_configuration ? m_delay : kUnconfiguredDelay;
   m_delay = std::min(m_delay * 2, kMaxDelay);
-  base::Millis fleet_delay(
-      static_cast<int64_t>(fleet_size * kMillisPerSecond * kPercent /
-                           (m_reads_per_second * kMaxReadPercent)));
-  int64_t longest = std::max(delay, fleet_delay).count();
+  int64_t longest = std::max(delay, FleetDelay(fleet_size)).count();
   return base::Millis(
       std::uniform_int_distribution<int64_t>(longest / 2, longest)(m_random));
 }
--- a/filberthollow/config/store_retry.h
+++ b/filberthollow/config/store_retry.h
@@ -42,10 +42,17 @@
   // the current delay and all of it, so that processes don't call in step.
   // `fleet_size` is the number of balancers that watch the store.
   base::Millis Next(bool has_configuration, size_t fleet_size);
+  // Returns a random delay before a call that all `fleet_size` balancers make
+  // for the same reason, for instance because the store has come back. Together
+  // they stay within the same share of the read rate.
+  base::Millis Spread(size_t fleet_size);
   // Starts again with kInitialDelay. To be called after a success.
   void Reset() { m_delay = kInitialDelay; }
 
  private:
+  // Returns the time in which each balancer of the fleet may call once.
+  base::Millis FleetDelay(size_t fleet_size) const;
+
   const uint64_t m_reads_per_second;
   base::Millis m_delay = kInitialDelay;
   std::mt19937_64 m_random;
--- a/filberthollow/config/store_retry_test.cc
+++ b/filberthollow/config/store_retry_test.cc
@@ -51,5 +51,23 @@
   BOOST_TEST(calls_per_second < 1.5 * share);
 }
 
+// Guards against a fleet that calls a store at the same moment, because it has
+// come back, and is turned away.
+BOOST_AUTO_TEST_CASE(CallsForTheSameReasonAreSpread) {
+  constexpr size_t kBalancers = 1000;
+  constexpr double kShare = kReadsPerSecond * StoreRetry::kMaxReadPercent / 100;
+  StoreRetry retry(kReadsPerSecond, kSeed);
+  Millis first{kInForce};
+  Millis last{0};
+  for (size_t balancer = 0; balancer < kBalancers; ++balancer) {
+    Millis delay = retry.Spread(kBalancers);
+    first = std::min(first, delay);
+    last = std::max(last, delay);
+  }
+  double seconds = static_cast<double>((last - first).count()) / 1000;
+  BOOST_TEST(kBalancers / seconds < 1.1 * kShare);
+  BOOST_TEST((retry.Spread(1) <= Millis(5)));
+}
+
 }  // namespace
 }  // namespace filberthollow::config
