Tell new balancers of all agents, not only of absent ones

Callers could see, as before: an open flow reset by a balancer that has just started. Cause, found in review: three balancers named to it the agents that were leaving or silent. An agent that had stopped reporting less than 0.7 s before was neither; the three could be newcomers themselves, or just killed, and know nobody; with two balancers one lost datagram was enough. Change: they name all agents (KnownAgents), newcomers don't count among the three, and absent agents are named once more 0.3 s later. An agent that starts to leave is named alone, not with the whole list.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -101,33 +101,34 @@
   return starts_leaving;
 }
 
-void FlowRouter::OnAbsentAgents(const AbsentAgents& absent, base::Millis now) {
-  for (const AbsentAgent& named : absent.agents) {
+void FlowRouter::OnKnownAgents(const KnownAgents& known, base::Millis now) {
+  for (const KnownAgent& named : known.agents) {
     if (named.heard_ago > kAgentExpiry) {
       continue;
     }
-    auto [known, added] = m_agents.try_emplace(named.agent);
+    auto [found, added] = m_agents.try_emplace(named.agent);
     if (!added) {
       continue;
     }
     ++m_agents_added;
-    known->second =
+    found->second =
         Agent{.report = {.service = named.service, .leaving = named.leaving},
               .heard_at = now - named.heard_ago,
               .load_reported_at = now,
               .heard = false};
-    known->second.silent = IsSilent(known->second, now);
+    found->second.silent = IsSilent(found->second, now);
   }
 }
 
-std::vector<AbsentAgents> FlowRouter::ListAbsentAgents(base::Millis now) const {
-  std::vector<AbsentAgents> lists;
+std::vector<KnownAgents> FlowRouter::ListAgents(base::Millis now,
+                                                AgentFilter filter) const {
+  std::vector<KnownAgents> lists;
   for (const auto& [address, agent] : m_agents) {
     bool absent = agent.report.leaving || IsSilent(agent, now);
-    if (!absent || HasNoUpstream(address)) {
+    if (HasNoUpstream(address) || (filter == AgentFilter::kAbsent && !absent)) {
       continue;
     }
-    if (lists.empty() || lists.back().agents.size() == kMaxAbsentAgents) {
+    if (lists.empty() || lists.back().agents.size() == kMaxKnownAgents) {
       lists.emplace_back();
     }
     lists.back().agents.push_back({.agent = address,
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -125,6 +125,12 @@
                                   ProcessPaused>;
 using RouterActions = std::vector<RouterAction>;
 
+// Which agents to tell another balancer of.
+enum class AgentFilter : uint8_t {
+  kAll,     // all but those without an upstream, which hold no flow
+  kAbsent,  // of these, those that are leaving or silent
+};
+
 // FlowRouter belongs to one task and is not thread-safe. Its methods append
 // actions to `actions`; the task carries them out.
 class FlowRouter {
@@ -220,10 +226,10 @@
   bool OnReport(const UpstreamReport& report,
                 base::Address agent,
                 base::Millis now);
-  // OnAbsentAgents records agents that another balancer knows. Those that this
+  // OnKnownAgents records agents that another balancer knows. Those that this
   // one knows already are ignored. Flows of the others are not taken for lost
   // only because this balancer has not heard of their agents.
-  void OnAbsentAgents(const AbsentAgents& absent, base::Millis now);
+  void OnKnownAgents(const KnownAgents& known, base::Millis now);
   // OnTick handles timeouts. It must be called again after each TickDelay(). If
   // it is called much later, this process was paused; so was it if any other
   // method is called much later than the last tick.
@@ -238,9 +244,10 @@
   bool IsReady(base::Millis now) const;
   // Returns the known agents.
   std::vector<base::Address> Agents() const;
-  // Returns the agents that a balancer that starts now would not hear, in
-  // messages of kMaxAbsentAgents at most.
-  std::vector<AbsentAgents> ListAbsentAgents(base::Millis now) const;
+  // Returns the agents to tell another balancer of, in messages of
+  // kMaxKnownAgents at most.
+  std::vector<KnownAgents> ListAgents(base::Millis now,
+                                      AgentFilter filter) const;
   size_t known_flows() const { return m_known_flows.size(); }
 
  private:
--- a/filberthollow/decision/flows/flow_router_test.cc
+++ b/filberthollow/decision/flows/flow_router_test.cc
@@ -283,7 +283,7 @@
 // takes the agents that it hears for all agents.
 BOOST_FIXTURE_TEST_CASE(FlowOfAgentNamedByAnotherBalancerIsNotReset, Fixture) {
   Report(kFirstAgent);
-  router.OnAbsentAgents(
+  router.OnKnownAgents(
       {{{kSecondAgent, testing::kDesk, /*leaving=*/true, Millis(300)}}}, now);
   WaitForDiscovery({kFirstAgent});
   RouterActions end = FromCaller(Data(101, 500));
@@ -303,7 +303,7 @@
   Report(kFirstAgent);
   Report(kSecondAgent);
   Report(kThirdAgent);
-  BOOST_TEST(router.ListAbsentAgents(now).empty());
+  BOOST_TEST(router.ListAgents(now, AgentFilter::kAbsent).empty());
   UpstreamReport leaving{.service = testing::kDesk,
                          .state = UpstreamState::kDraining,
                          .interval = Millis(200),
@@ -317,21 +317,24 @@
                   Address{4, 7000}, now);
   Millis silence = FlowRouter::kMinSilence + kStep;
   AdvanceTime(silence, {kFirstAgent});
-  auto named = router.ListAbsentAgents(now);
+  auto named = router.ListAgents(now, AgentFilter::kAbsent);
   BOOST_REQUIRE(named.size() == 1U);
-  AbsentAgents expected{{{kSecondAgent, testing::kDesk, true, silence},
-                         {kThirdAgent, testing::kDesk, false, silence}}};
+  KnownAgents expected{{{kSecondAgent, testing::kDesk, true, silence},
+                        {kThirdAgent, testing::kDesk, false, silence}}};
   BOOST_TEST((named[0] == expected));
+  named = router.ListAgents(now, AgentFilter::kAll);
+  BOOST_REQUIRE(named.size() == 1U);
+  BOOST_TEST(named[0].agents.size() == 3U);
 }
 
-BOOST_FIXTURE_TEST_CASE(AbsentAgentsAreNamedInSeveralMessages, Fixture) {
-  for (uint32_t host = 1; host <= kMaxAbsentAgents + 1; ++host) {
+BOOST_FIXTURE_TEST_CASE(KnownAgentsAreNamedInSeveralMessages, Fixture) {
+  for (uint32_t host = 1; host <= kMaxKnownAgents + 1; ++host) {
     Report({host, 7000});
   }
   AdvanceTime(FlowRouter::kMinSilence + kStep, {});
-  auto named = router.ListAbsentAgents(now);
+  auto named = router.ListAgents(now, AgentFilter::kAbsent);
   BOOST_REQUIRE(named.size() == 2U);
-  BOOST_TEST(named[0].agents.size() == kMaxAbsentAgents);
+  BOOST_TEST(named[0].agents.size() == kMaxKnownAgents);
   BOOST_TEST(named[1].agents.size() == 1U);
 }
 
@@ -339,7 +342,7 @@
 BOOST_FIXTURE_TEST_CASE(NamedAgentsMakeBalancerNeitherReadyNorIsolated,
                         Fixture) {
   for (uint32_t host = 11; host <= 15; ++host) {
-    router.OnAbsentAgents(
+    router.OnKnownAgents(
         {{{{host, 7000}, testing::kDesk, /*leaving=*/true, Millis(0)}}}, now);
   }
   router.OnTick(now, actions);
@@ -351,13 +354,13 @@
 
 BOOST_FIXTURE_TEST_CASE(OwnReportsCountMoreThanNamedAgents, Fixture) {
   WaitForDiscovery({kFirstAgent});
-  router.OnAbsentAgents(
+  router.OnKnownAgents(
       {{{kFirstAgent, testing::kDesk, /*leaving=*/true, Millis(5000)}}}, now);
-  router.OnAbsentAgents({{{kSecondAgent, testing::kDesk, /*leaving=*/true,
-                           FlowRouter::kAgentExpiry + Millis(1)}}},
-                        now);
+  router.OnKnownAgents({{{kSecondAgent, testing::kDesk, /*leaving=*/true,
+                          FlowRouter::kAgentExpiry + Millis(1)}}},
+                       now);
   BOOST_TEST(router.Agents().size() == 1U);
-  BOOST_TEST(router.ListAbsentAgents(now).empty());
+  BOOST_TEST(router.ListAgents(now, AgentFilter::kAbsent).empty());
 }
 
 // Otherwise the caller is not reset until it retransmits, after up to 1.6 s.
--- a/filberthollow/decision/flows/packet_messages.h
+++ b/filberthollow/decision/flows/packet_messages.h
@@ -74,25 +74,24 @@
   friend bool operator==(const BalancerHello&, const BalancerHello&) = default;
 };
 
-// AbsentAgent is an agent whose reports are missing or about to be missing,
-// while its upstream may still hold flows.
-struct AbsentAgent {
+// KnownAgent is an agent of which one balancer tells another.
+struct KnownAgent {
   base::Address agent;
   base::ServiceId service{};  // of its upstream
   bool leaving = false;       // as in its last report
   base::Millis heard_ago;     // time since its last message
-  friend bool operator==(const AbsentAgent&, const AbsentAgent&) = default;
+  friend bool operator==(const KnownAgent&, const KnownAgent&) = default;
 };
 
-// kMaxAbsentAgents limits the agents of one AbsentAgents, so that it fits in a
+// kMaxKnownAgents limits the agents of one KnownAgents, so that it fits in a
 // datagram.
-inline constexpr size_t kMaxAbsentAgents = 48;
+inline constexpr size_t kMaxKnownAgents = 48;
 
-// AbsentAgents tells a balancer that has just started of agents that it can't
-// hear itself.
-struct AbsentAgents {
-  std::vector<AbsentAgent> agents;
-  friend bool operator==(const AbsentAgents&, const AbsentAgents&) = default;
+// KnownAgents tells a balancer that has just started which agents there are. It
+// may not hear all of them itself: some restart, are silent or are cut off.
+struct KnownAgents {
+  std::vector<KnownAgent> agents;
+  friend bool operator==(const KnownAgents&, const KnownAgents&) = default;
 };
 
 // Forward carries a caller's packet from a balancer to an agent.
--- a/filberthollow/decision/membership/balancer_set.cc
+++ b/filberthollow/decision/membership/balancer_set.cc
@@ -76,25 +76,41 @@
       [this, now](const Entry& entry) { return !IsLive(entry, now); });
 }
 
+bool BalancerSet::IsNewcomer(const Entry& entry, base::Millis now) const {
+  return IsLive(entry, now) && now - entry.run_heard_at < kNewcomerTime;
+}
+
 std::vector<base::Address> BalancerSet::Newcomers(base::Millis now) const {
-  return Select([this, now](const Entry& entry) {
-    return IsLive(entry, now) && now - entry.run_heard_at < kNewcomerTime;
-  });
+  return Select(
+      [this, now](const Entry& entry) { return IsNewcomer(entry, now); });
 }
 
-bool BalancerSet::IsNotifierFor(base::Address peer, base::Millis now) const {
+bool BalancerSet::RanksHighFor(
+    base::Address peer,
+    const std::vector<base::Address>& balancers) const {
   // The balancer with the lowest value ranks highest.
   auto rank = [peer](base::Address balancer) {
     return base::HashWords({peer.ip, peer.port, balancer.ip, balancer.port});
   };
   uint64_t own = rank(m_self);
   size_t higher_ranked = 0;
-  for (base::Address balancer : LiveNotLeaving(now)) {
+  for (base::Address balancer : balancers) {
     higher_ranked += balancer != peer && rank(balancer) < own ? 1 : 0;
   }
   return higher_ranked < kNotifiersPerPeer;
 }
 
+bool BalancerSet::IsNotifierFor(base::Address peer, base::Millis now) const {
+  return RanksHighFor(peer, LiveNotLeaving(now));
+}
+
+bool BalancerSet::IntroducesTo(base::Address peer, base::Millis now) const {
+  return RanksHighFor(peer, Select([this, now](const Entry& entry) {
+                        return IsLive(entry, now) && !entry.leaving &&
+                               !IsNewcomer(entry, now);
+                      }));
+}
+
 std::vector<base::Address> BalancerSet::LiveNotLeaving(base::Millis now) const {
   return Select([this, now](const Entry& entry) {
     return IsLive(entry, now) && !entry.leaving;
--- a/filberthollow/decision/membership/balancer_set.h
+++ b/filberthollow/decision/membership/balancer_set.h
@@ -92,6 +92,10 @@
   // by rendezvous hashing. Without this limit, every balancer would send each
   // notification to every peer.
   bool IsNotifierFor(base::Address peer, base::Millis now) const;
+  // Returns whether this balancer is one of the kNotifiersPerPeer that tell the
+  // newcomer `peer` what they know. Other newcomers are left out, since they
+  // know as little.
+  bool IntroducesTo(base::Address peer, base::Millis now) const;
   size_t size() const { return m_balancers.size(); }
 
  private:
@@ -108,6 +112,11 @@
   };
 
   bool IsLive(const Entry& entry, base::Millis now) const;
+  bool IsNewcomer(const Entry& entry, base::Millis now) const;
+  // Returns whether fewer than kNotifiersPerPeer of `balancers` rank above this
+  // one for `peer`.
+  bool RanksHighFor(base::Address peer,
+                    const std::vector<base::Address>& balancers) const;
   template <class Predicate>
   std::vector<base::Address> Select(Predicate predicate) const;
 
--- a/filberthollow/decision/membership/balancer_set_test.cc
+++ b/filberthollow/decision/membership/balancer_set_test.cc
@@ -54,6 +54,24 @@
   BOOST_TEST(set.Newcomers(later).size() == 1U);
 }
 
+// Guards against newcomers that are assigned to tell each other of agents that
+// none of them knows.
+BOOST_AUTO_TEST_CASE(BalancerIntroducesAgentsIfAllOthersAreNewcomers) {
+  BalancerSet set(kSelf);
+  constexpr uint32_t kNewcomers = 20;
+  for (uint32_t host = 101; host < 101 + kNewcomers; ++host) {
+    set.OnHello({host, 1}, kRun, false, Millis(0));
+  }
+  uint32_t notified = 0;
+  for (base::Address newcomer : set.Newcomers(Millis(1))) {
+    BOOST_TEST(set.IntroducesTo(newcomer, Millis(1)));
+    notified += set.IsNotifierFor(newcomer, Millis(1)) ? 1 : 0;
+  }
+  BOOST_TEST(notified < kNewcomers);
+  set.OnHello(kOther, kRun, false, BalancerSet::kNewcomerTime);
+  BOOST_TEST(set.Newcomers(BalancerSet::kNewcomerTime).size() == 1U);
+}
+
 // A balancer restarted at the same address knows no agents. With reports one
 // second apart, it reset open flows of agents that it had not heard from yet.
 BOOST_AUTO_TEST_CASE(ARestartedBalancerIsReportedAsNew) {
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -192,7 +192,7 @@
   Handle(BalancersFound{m.balancers});
 }
 
-void AgentTask::HandlePeerMessage(const decision::flows::AbsentAgents& /*m*/,
+void AgentTask::HandlePeerMessage(const decision::flows::KnownAgents& /*m*/,
                                   base::Address /*from*/) {
   m_metrics.Count(flow::Reason::kMalformed);  // sent to balancers only
 }
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -80,7 +80,7 @@
                          base::Address from);
   void HandlePeerMessage(const decision::flows::BalancerHello& m,
                          base::Address from);
-  void HandlePeerMessage(const decision::flows::AbsentAgents& m,
+  void HandlePeerMessage(const decision::flows::KnownAgents& m,
                          base::Address from);
 
   // Carries out the gate's decisions in `m_actions` and clears the list. An
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -11,6 +11,7 @@
 namespace filberthollow::passthrough {
 
 using base::Level;
+using decision::flows::AgentFilter;
 
 BalancerTask::BalancerTask(const base::Clock& clock,
                            kernel::Registry& registry,
@@ -118,7 +119,12 @@
                                      base::Address from) {
   if (m_router.OnReport(m, from, Now())) {
     for (base::Address newcomer : m_balancers.Newcomers(Now())) {
-      SendAbsentAgents(newcomer);
+      if (m_balancers.IntroducesTo(newcomer, Now())) {
+        SendToPeer(
+            decision::flows::KnownAgents{
+                {{.agent = from, .service = m.service, .leaving = true}}},
+            newcomer);
+      }
     }
   }
   NotifyIfNewerRevision(m.revision, m_router.revision(), from);
@@ -137,15 +143,17 @@
   if (m_balancers.OnHello(from, m.run, m.leaving, Now())) {
     SendHello(from);
     NotifyAssignedPeers(from);  // makes agents report to it immediately
-    SendAbsentAgents(from);
+    IntroduceAgents(from, AgentFilter::kAll);
+    loop().After(kIntroductionRepeat,
+                 [this, from] { IntroduceAgents(from, AgentFilter::kAbsent); });
   }
   Handle(BalancersFound{m.balancers});
 }
 
-void BalancerTask::HandlePeerMessage(const decision::flows::AbsentAgents& m,
+void BalancerTask::HandlePeerMessage(const decision::flows::KnownAgents& m,
                                      base::Address /*from*/) {
-  m_metrics.Add("agents_named", m.agents.size());
-  m_router.OnAbsentAgents(m, Now());
+  m_metrics.Add("agents_introduced", m.agents.size());
+  m_router.OnKnownAgents(m, Now());
 }
 
 void BalancerTask::ApplyActions() {
@@ -309,12 +317,12 @@
   }
 }
 
-void BalancerTask::SendAbsentAgents(base::Address newcomer) {
-  if (!m_balancers.IsNotifierFor(newcomer, Now())) {
+void BalancerTask::IntroduceAgents(base::Address newcomer, AgentFilter filter) {
+  if (!m_balancers.IntroducesTo(newcomer, Now())) {
     return;
   }
-  for (const auto& absent : m_router.ListAbsentAgents(Now())) {
-    SendToPeer(absent, newcomer);
+  for (const auto& known : m_router.ListAgents(Now(), filter)) {
+    SendToPeer(known, newcomer);
   }
 }
 
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -36,6 +36,9 @@
   // Time without callers' packets after which a leaving balancer assumes that
   // the fabric has stopped sending to it.
   static constexpr base::Millis kLeaveQuietTime{400};
+  // Time after which a balancer that has just started is told once more of the
+  // agents that it can't hear, in case the first message was lost.
+  static constexpr base::Millis kIntroductionRepeat{300};
 
   BalancerTask(const base::Clock& clock,
                kernel::Registry& registry,
@@ -69,7 +72,7 @@
                          base::Address from);
   void HandlePeerMessage(const decision::flows::BalancerHello& m,
                          base::Address from);
-  void HandlePeerMessage(const decision::flows::AbsentAgents& m,
+  void HandlePeerMessage(const decision::flows::KnownAgents& m,
                          base::Address from);
 
   // Carries out the router's decisions in `m_actions` and clears the list. An
@@ -102,9 +105,10 @@
   // The assignment (BalancerSet::IsNotifierFor()) limits the number of
   // balancers that send each peer the same news.
   void NotifyAssignedPeers(base::Address newcomer = {});
-  // Tells `newcomer`, a balancer that has just started, of the agents that it
-  // can't hear, if this balancer is assigned to notify it.
-  void SendAbsentAgents(base::Address newcomer);
+  // Tells `newcomer`, a balancer that has just started, of agents, if this
+  // balancer is assigned to do so.
+  void IntroduceAgents(base::Address newcomer,
+                       decision::flows::AgentFilter filter);
   // Updates the readiness reported to the fabric, and logs it if it changed.
   void CheckReadiness();
 
--- a/filberthollow/wire/packet_codec.cc
+++ b/filberthollow/wire/packet_codec.cc
@@ -9,12 +9,12 @@
 namespace {
 
 using base::Value;
-using decision::flows::AbsentAgents;
 using decision::flows::BalancerHello;
 using decision::flows::FlowAnswer;
 using decision::flows::Forward;
-using decision::flows::kMaxAbsentAgents;
 using decision::flows::kMaxFlowsPerLocate;
+using decision::flows::kMaxKnownAgents;
+using decision::flows::KnownAgents;
 using decision::flows::Locate;
 using decision::flows::Located;
 using decision::flows::UpstreamReport;
@@ -210,10 +210,10 @@
   return true;
 }
 
-void Write(const AbsentAgents& m, Builder message) {
+void Write(const KnownAgents& m, Builder message) {
   auto count =
-      static_cast<uint32_t>(std::min(m.agents.size(), kMaxAbsentAgents));
-  auto agents = message.initAbsent().initAgents(count);
+      static_cast<uint32_t>(std::min(m.agents.size(), kMaxKnownAgents));
+  auto agents = message.initKnown().initAgents(count);
   for (uint32_t i = 0; i < count; ++i) {
     agents[i].setIp(m.agents[i].agent.ip);
     agents[i].setPort(m.agents[i].agent.port);
@@ -224,18 +224,18 @@
   }
 }
 
-bool Read(generated::AbsentAgents::Reader in, PacketMessage& out) {
-  if (in.getAgents().size() > kMaxAbsentAgents) {
+bool Read(generated::KnownAgents::Reader in, PacketMessage& out) {
+  if (in.getAgents().size() > kMaxKnownAgents) {
     return false;
   }
-  AbsentAgents absent;
+  KnownAgents known;
   for (auto agent : in.getAgents()) {
-    absent.agents.push_back({.agent = {agent.getIp(), agent.getPort()},
-                             .service = base::ServiceId{agent.getService()},
-                             .leaving = agent.getLeaving(),
-                             .heard_ago = base::Millis(agent.getHeardAgoMs())});
+    known.agents.push_back({.agent = {agent.getIp(), agent.getPort()},
+                            .service = base::ServiceId{agent.getService()},
+                            .leaving = agent.getLeaving(),
+                            .heard_ago = base::Millis(agent.getHeardAgoMs())});
   }
-  out = std::move(absent);
+  out = std::move(known);
   return true;
 }
 
@@ -253,8 +253,8 @@
       return Read(in.getHello(), out);
     case generated::PacketMessage::LOCATED:
       return Read(in.getLocated(), out);
-    case generated::PacketMessage::ABSENT:
-      return Read(in.getAbsent(), out);
+    case generated::PacketMessage::KNOWN:
+      return Read(in.getKnown(), out);
   }
   return false;  // message type of a newer release
 }
--- a/filberthollow/wire/packet_codec.h
+++ b/filberthollow/wire/packet_codec.h
@@ -21,7 +21,7 @@
                                    decision::flows::FlowAnswer,
                                    decision::flows::UpstreamReport,
                                    decision::flows::BalancerHello,
-                                   decision::flows::AbsentAgents>;
+                                   decision::flows::KnownAgents>;
 
 // kMaxHelloBalancers is the maximum number of balancers in a BalancerHello, so
 // that it fits one datagram. The encoder truncates longer lists.
--- a/filberthollow/wire/packet_codec_test.cc
+++ b/filberthollow/wire/packet_codec_test.cc
@@ -41,7 +41,7 @@
                                      .leaving = true,
                                      .balancers = {{1, 2}, {3, 4}},
                                      .newcomer = {5, 6}},
-      decision::flows::AbsentAgents{
+      decision::flows::KnownAgents{
           {{{1, 2}, base::ServiceId{7}, true, base::Millis(300)},
            {{3, 4}, base::ServiceId{8}, false, base::Millis(0)}}}};
 }
--- a/filberthollow/wire/packets.capnp
+++ b/filberthollow/wire/packets.capnp
@@ -82,7 +82,7 @@
   newcomerPort @6 :UInt16;
 }
 
-struct AbsentAgent {
+struct KnownAgent {
   service @0 :UInt64;
   ip @1 :UInt32;
   heardAgoMs @2 :UInt32;
@@ -90,8 +90,8 @@
   leaving @4 :Bool;
 }
 
-struct AbsentAgents {
-  agents @0 :List(AbsentAgent);
+struct KnownAgents {
+  agents @0 :List(KnownAgent);
 }
 
 struct PacketMessage {
@@ -102,6 +102,6 @@
     report @3 :UpstreamReport;
     hello @4 :BalancerHello;
     located @5 :Located;
-    absent @6 :AbsentAgents;
+    known @6 :KnownAgents;
   }
 }
