Don't count a pause of the process as discovery

Callers could see: a balancer that did not run for a while right after its start reset open flows of agents that it had not heard yet. Cause, found in review: a pause moved the times at which agents were heard, but not the start of the balancer, from which the discovery period is counted. Evidence: PauseIsNotDiscovery failed before (trial of the review: reset by the first answer). Change: a pause moves the start, too.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -388,6 +388,7 @@
     return false;
   }
   m_last_tick = now;
+  m_started = std::min(m_started + gap, now);
   for (auto& [address, agent] : m_agents) {
     agent.heard_at = std::min(agent.heard_at + gap, now);
     if (agent.asked_at != base::kNever) {
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -433,7 +433,7 @@
 
   const uint64_t m_data_centre;
   const load::UpstreamChoice& m_choice;
-  const base::Millis m_started;
+  base::Millis m_started;  // without the time in which this process was paused
   std::shared_ptr<const RouteTable> m_routes =
       std::make_shared<const RouteTable>();
   std::map<base::Address, Agent> m_agents;
--- a/filberthollow/decision/flows/flow_router_test.cc
+++ b/filberthollow/decision/flows/flow_router_test.cc
@@ -728,6 +728,16 @@
   BOOST_TEST(ActionsOfType<AgentSilence>(AdvanceTime(kStep, {})).empty());
 }
 
+// Guards against a balancer that takes the time in which it did not run for
+// time in which all agents have reported.
+BOOST_FIXTURE_TEST_CASE(PauseIsNotDiscovery, Fixture) {
+  Report(kFirstAgent);
+  now = now + FlowRouter::kDiscoveryPeriod * 2;
+  FromCaller(Data(101, 500));
+  RouterActions end = Answer(kFirstAgent, Holding::kNotHeld);
+  BOOST_TEST(ActionsOfType<ResetCaller>(end).empty());
+}
+
 // Guards against a balancer that resets the flows of a route that it does not
 // know yet: another balancer has already opened flows under a newer
 // configuration.
