Bounced packets don't show that there is an upstream

Callers would see: after the host of a removed upstream has restarted, callers of lost flows are not told for as long as probes reach that host, and its agent stops only when it is killed. Evidence: BouncedPacketsShowNoUpstream failed before (not gone after 2.5 s of bounces). Change: only packets of flows that the upstream holds count.

--- a/filberthollow/decision/flows/upstream_gate.cc
+++ b/filberthollow/decision/flows/upstream_gate.cc
@@ -260,6 +260,7 @@
     OnBouncedPacket(header, now, actions);
     return;
   }
+  m_liveness.RecordFlowPacket(now);
   FlowEnds ends = header.ToCaller();
   auto [found, added] = m_flows.try_emplace(ends);
   Flow& flow = found->second;
--- a/filberthollow/decision/flows/upstream_gate_test.cc
+++ b/filberthollow/decision/flows/upstream_gate_test.cc
@@ -358,6 +358,21 @@
   BOOST_TEST((f.gate.Report(f.now).state == UpstreamState::kGone));
 }
 
+// Guards against probes that keep an upstream that is down from counting as
+// absent: its host bounces them.
+BOOST_AUTO_TEST_CASE(BouncedPacketsShowNoUpstream) {
+  Fixture f(/*first_start=*/false);
+  f.gate.Leave();
+  Millis absent_after = Millis(1000) * UpstreamLiveness::kAbsentHeartbeats +
+                        UpstreamLiveness::kAbsentSlack;
+  for (Millis end = f.now + absent_after; f.now <= end;) {
+    f.FromUpstream(Bounced(Data(101, 500)));
+    f.AdvanceTime(kTickStep);
+  }
+  BOOST_TEST((f.gate.Report(f.now).state == UpstreamState::kGone));
+  BOOST_TEST(f.gate.KnowsWhetherUpstreamRuns(f.now));
+}
+
 // After a power failure, the host of a removed upstream is stopped again soon
 // after its start. Guards against its last report: "leaving" with an upstream
 // that was never heard. Balancers then waited for the agent's answers for 30 s,
--- a/filberthollow/decision/flows/upstream_life.cc
+++ b/filberthollow/decision/flows/upstream_life.cc
@@ -10,7 +10,8 @@
                                    base::Millis now)
     : m_service(service),
       m_absent_after(heartbeat_interval * kAbsentHeartbeats + kAbsentSlack),
-      m_last_activity(now) {}
+      m_last_activity(now),
+      m_last_flow_packet(now) {}
 
 uint64_t UpstreamLiveness::run() const {
   return base::HashBytes(m_id, static_cast<uint64_t>(m_run_started.count()));
@@ -18,7 +19,8 @@
 
 bool UpstreamLiveness::IsAbsent(base::Millis now) const {
   // A restarted agent may miss heartbeats of an upstream whose flows it serves.
-  return m_state == UpstreamState::kUnknown && HeardAgo(now) > m_absent_after;
+  return m_state == UpstreamState::kUnknown &&
+         now - m_last_flow_packet > m_absent_after;
 }
 
 HeartbeatOutcome UpstreamLiveness::OnHeartbeat(const UpstreamHeartbeat& beat,
@@ -119,6 +121,7 @@
 
 void UpstreamLiveness::OnProcessPaused(base::Millis now) {
   m_last_activity = now;
+  m_last_flow_packet = now;
   m_opening_delivered_at = base::kNever;
   if (m_silent) {
     m_silent_since = now;
--- a/filberthollow/decision/flows/upstream_life.h
+++ b/filberthollow/decision/flows/upstream_life.h
@@ -74,8 +74,9 @@
   // opening packet, unless a heartbeat arrives first. A host whose upstream is
   // down bounces every packet, and each attempt delays a caller.
   static constexpr base::Millis kRefusalBackoff{500};
-  // The upstream is considered absent if no heartbeat has ever arrived, and
-  // nothing else for kAbsentHeartbeats heartbeat intervals plus kAbsentSlack.
+  // The upstream is considered absent if no heartbeat has ever arrived, and no
+  // packet of a flow for kAbsentHeartbeats heartbeat intervals plus
+  // kAbsentSlack.
   static constexpr int64_t kAbsentHeartbeats = 2;
   static constexpr base::Millis kAbsentSlack{500};
 
@@ -90,6 +91,10 @@
   // Records that the upstream has sent something. Returns whether it was silent
   // until now.
   bool RecordActivity(base::Millis now);
+  // Records that the upstream has sent a packet of a flow that it holds.
+  // Bounced packets do not count: the host of an upstream that is down bounces
+  // all.
+  void RecordFlowPacket(base::Millis now) { m_last_flow_packet = now; }
   // Records that an opening packet was delivered to the upstream, which must
   // answer it within kOpenTimeout.
   void RecordOpeningDelivered(base::Millis now);
@@ -153,6 +158,9 @@
   base::Millis m_shutdown_announced_at{base::kNever};
 
   base::Millis m_last_activity;
+  // When RecordFlowPacket() was called last, or the start or the last pause of
+  // this process.
+  base::Millis m_last_flow_packet;
   // Delivery time of the first unanswered opening packet, or kNever.
   base::Millis m_opening_delivered_at{base::kNever};
   base::Millis m_refusing_until{INT64_MIN / 4};
