Take news of an agent that are newer than one's own

Callers could see: an open flow of a repeatable route reset while its agent restarts as planned. Cause, found in review: a new balancer that had heard an agent once ignored what others said of it. An agent that doesn't count the balancer among the living yet announces its restart to the others only; 0.7 s later its flows counted as lost. Evidence: NewsOfKnownAgentIsTakenIfNewer failed before. Change: what another balancer has heard later replaces the older announcement.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -103,20 +103,25 @@
 
 void FlowRouter::OnKnownAgents(const KnownAgents& known, base::Millis now) {
   for (const KnownAgent& named : known.agents) {
+    base::Millis heard_at = now - named.heard_ago;
     if (named.heard_ago > kAgentExpiry) {
       continue;
     }
     auto [found, added] = m_agents.try_emplace(named.agent);
-    if (!added) {
-      continue;
+    Agent& agent = found->second;
+    if (added) {
+      ++m_agents_added;
+      agent = {.report = {.service = named.service},
+               .heard_at = heard_at,
+               .load_reported_at = now,
+               .heard = false};
+    }
+    // An agent may announce its restart before it knows this balancer.
+    if (heard_at >= agent.heard_at) {
+      agent.heard_at = heard_at;
+      agent.report.leaving = named.leaving;
     }
-    ++m_agents_added;
-    found->second =
-        Agent{.report = {.service = named.service, .leaving = named.leaving},
-              .heard_at = now - named.heard_ago,
-              .load_reported_at = now,
-              .heard = false};
-    found->second.silent = IsSilent(found->second, now);
+    agent.silent = added ? IsSilent(agent, now) : agent.silent;
   }
 }
 
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -226,9 +226,9 @@
   bool OnReport(const UpstreamReport& report,
                 base::Address agent,
                 base::Millis now);
-  // OnKnownAgents records agents that another balancer knows. Those that this
-  // one knows already are ignored. Flows of the others are not taken for lost
-  // only because this balancer has not heard of their agents.
+  // OnKnownAgents records agents that another balancer knows, so that their
+  // flows are not taken for lost only because this balancer has not heard the
+  // agents. What this one has heard since is not replaced.
   void OnKnownAgents(const KnownAgents& known, base::Millis now);
   // OnTick handles timeouts. It must be called again after each TickDelay(). If
   // it is called much later, this process was paused; so was it if any other
--- a/filberthollow/decision/flows/flow_router_test.cc
+++ b/filberthollow/decision/flows/flow_router_test.cc
@@ -501,6 +501,19 @@
   }
 };
 
+// Guards against a balancer that has heard an agent, but not that it restarts.
+BOOST_FIXTURE_TEST_CASE(NewsOfKnownAgentIsTakenIfNewer, IdempotentFlow) {
+  router.OnKnownAgents(
+      {{{kFirstAgent, testing::kMaps, /*leaving=*/true, Millis(0)}}}, now);
+  AdvanceTime(FlowRouter::kMinSilence + kStep, {kSecondAgent});
+  for (uint32_t sequence : {101U, 601U, 1101U}) {
+    data.sequence = sequence;
+    RouterActions end = FromCaller(data);
+    BOOST_TEST(ActionsOfType<ResetCaller>(end).empty());
+    BOOST_TEST(ActionsOfType<SendForward>(end).size() == 1U);
+  }
+}
+
 // Two upstreams may accept the same flow if the first answer is late. The
 // cached one stopped responding while the caller continued with the other.
 BOOST_FIXTURE_TEST_CASE(FlowOfSilentAgentIsFoundAtAnotherAgent,
