Reset no flow for a route that a newer configuration may have

Callers could see: an open flow on a route that had been added was reset by a balancer that had just started with an older configuration, for instance the one in a store that came back from a copy; new flows on that route were reset by it. Cause, found in review: only agents' reports counted as news of a newer configuration, not the hellos of balancers, and before the first report none. Evidence: NoOpenFlowIsResetForItsRouteDuringDiscovery failed before (trial of the review: reset no_route). Change: hellos count too; during discovery flows of unknown routes are searched for; an opening packet of an unknown route is dropped while a peer has a newer configuration, since the caller sends it again after 200 and 600 ms.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -163,7 +163,12 @@
   FlowEnds ends = header.FromCaller();
   const CompiledRoute* route = m_routes->Find(ends.route);
   if (HasRoutes() && route == nullptr) {
-    actions.emplace_back(ResetCaller{ends, 0, Reason::kNoRoute});
+    // The caller retransmits its packet; the route may be known by then.
+    if (IsBehind()) {
+      actions.emplace_back(DropPacket{Reason::kNoRoute});
+    } else {
+      actions.emplace_back(ResetCaller{ends, 0, Reason::kNoRoute});
+    }
     return;
   }
   if (auto known = m_known_flows.find(ends); known != m_known_flows.end()) {
@@ -255,7 +260,8 @@
                               RouterActions& actions) {
   FlowEnds ends = header.FromCaller();
   const CompiledRoute* route = m_routes->Find(ends.route);
-  if (HasRoutes() && route == nullptr && !IsBehind()) {
+  bool may_lack_route = IsBehind() || !KnowsAllAgents(now);
+  if (HasRoutes() && route == nullptr && !may_lack_route) {
     // The route was removed from the configuration, which ends its flows.
     m_known_flows.erase(ends);
     actions.emplace_back(
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -22,6 +22,7 @@
 #ifndef FILBERTHOLLOW_DECISION_FLOWS_FLOW_ROUTER_H_
 #define FILBERTHOLLOW_DECISION_FLOWS_FLOW_ROUTER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -230,6 +231,11 @@
   // flows are not taken for lost only because this balancer has not heard the
   // agents. What this one has heard since is not replaced.
   void OnKnownAgents(const KnownAgents& known, base::Millis now);
+  // OnPeerRevision records the revision of the configuration that another
+  // balancer uses.
+  void OnPeerRevision(uint64_t revision) {
+    m_newest_revision = std::max(m_newest_revision, revision);
+  }
   // OnTick handles timeouts. It must be called again after each TickDelay(). If
   // it is called much later, this process was paused; so was it if any other
   // method is called much later than the last tick.
@@ -312,8 +318,8 @@
                  base::Millis now,
                  RouterActions& actions);
   bool HasRoutes() const { return m_routes->revision() > 0; }
-  // Returns whether an agent has reported a newer configuration. It may have
-  // routes that this balancer does not know, and flows opened on them.
+  // Returns whether a peer has a newer configuration. It may have routes that
+  // this balancer does not know, and flows opened on them.
   bool IsBehind() const { return m_newest_revision > m_routes->revision(); }
   // Returns the upstreams of the service that may be offered the flow.
   std::vector<load::UpstreamCandidate> CandidatesFor(base::ServiceId service,
@@ -444,7 +450,7 @@
   LocateQueue m_questions;
   base::Millis m_last_tick;
   base::Millis m_longest_interval{0};  // longest report interval of any agent
-  // Newest revision of the configuration that any known agent has reported.
+  // Newest revision of the configuration that any peer has reported recently.
   uint64_t m_newest_revision = 0;
   bool m_isolated = false;  // see kIsolationTimeout
   base::Millis m_next_sweep{0};
--- a/filberthollow/decision/flows/flow_router_test.cc
+++ b/filberthollow/decision/flows/flow_router_test.cc
@@ -776,6 +776,30 @@
   BOOST_TEST((resets[0].reason == Reason::kNoRoute));
 }
 
+// Guards against a balancer that has just started with an older configuration,
+// and has heard of no newer one yet.
+BOOST_FIXTURE_TEST_CASE(NoOpenFlowIsResetForItsRouteDuringDiscovery, Fixture) {
+  flow::PacketHeader data = Data(101, 500);
+  data.destination = testing::kUnknownRoute;
+  BOOST_TEST(ActionsOfType<ResetCaller>(FromCaller(data)).empty());
+  WaitForDiscovery({kFirstAgent});
+  BOOST_TEST(ActionsOfType<ResetCaller>(FromCaller(data)).size() == 1U);
+}
+
+// Guards against a balancer that refuses new flows of a route that other
+// balancers serve already.
+BOOST_FIXTURE_TEST_CASE(NewFlowWaitsForNewerConfigurationOfPeer, Fixture) {
+  WaitForDiscovery({kFirstAgent});
+  router.OnPeerRevision(6);
+  BOOST_TEST(
+      ActionsOfType<ResetCaller>(FromCaller(Opening(testing::kUnknownRoute)))
+          .empty());
+  router.SetRoutes(testing::TwoRoutes(6));
+  BOOST_TEST(
+      ActionsOfType<ResetCaller>(FromCaller(Opening(testing::kUnknownRoute)))
+          .size() == 1U);
+}
+
 // A balancer that has restarted while the store of the configuration is away.
 struct Unconfigured : Fixture {
   Unconfigured() { router.SetRoutes(std::make_shared<RouteTable>()); }
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -140,6 +140,7 @@
 void BalancerTask::HandlePeerMessage(const decision::flows::BalancerHello& m,
                                      base::Address from) {
   NotifyIfNewerRevision(m.revision, m_router.revision(), from);
+  m_router.OnPeerRevision(m.revision);
   if (m_balancers.OnHello(from, m.run, m.leaving, Now())) {
     SendHello(from);
     NotifyAssignedPeers(from);  // makes agents report to it immediately
