Ask a store that was away without waiting

Operators would see: a change made right after the store came back from a copy is in force up to 30 s late. Cause, found in review: a balancer that returns watches from its last revision. If the store has given out that revision again meanwhile, it holds the call back until the next change, and its generation shows only in the answer. Change: the first call after a failed one does not wait. Cost: one more call a balancer after each outage.

--- a/filberthollow/config/fleet_config_task.cc
+++ b/filberthollow/config/fleet_config_task.cc
@@ -106,8 +106,11 @@
   if (!answer) {
     m_metrics.Add("platform_failures");
     SetReachable(false, answer.error().Text());
+    // The first answer after an outage must not be held back: if the store has
+    // come back from a copy, it may have given out the watched revision again
+    // before, and would only answer after the next change.
     loop().After(m_watch_retry.Next(HasConfiguration(), m_fleet_size),
-                 [this] { Watch(kWatchWait); });
+                 [this] { Watch(base::Millis(0)); });
     return;
   }
   SetReachable(true, "");
--- a/filberthollow/platform/store_restored_fleet_test.py
+++ b/filberthollow/platform/store_restored_fleet_test.py
@@ -11,7 +11,7 @@
 
 from fleet import wait_until  # noqa: E402
 from platform_fleet import (  # noqa: E402
-    ACK, NET, OPEN, OTHER_ROUTE, ROUTE, System)
+    ACK, NET, OBJECTS, OPEN, OTHER_ROUTE, ROUTE, System)
 
 THIRD_ROUTE = "198.18.0.3"
 CONFIGURATION_SECONDS = 3  # The platform's configurationMs.
@@ -91,6 +91,23 @@
                                                 THIRD_ROUTE)
             self.assertEqual(answer.data, b"answer to a")
 
+    # Guards against a watch that is held back: the store has given out the
+    # watched revision again before the balancers call, to other objects.
+    def test_change_made_before_balancers_return_takes_effect(self):
+        system = self.system
+        system.copy_store()
+        for _ in range(LOST_CHANGES):
+            system.configure([ROUTE])
+        time.sleep(1)  # Longer than a balancer takes to see a change.
+        system.restore_store()
+        system.configure([ROUTE, THIRD_ROUTE])
+        for number in range(LOST_CHANGES):
+            status, _ = system.call_platform(
+                f"{OBJECTS}/others", {"meta": {"name": f"o-{number}"},
+                                      "spec": {}}, "POST")
+            self.assertEqual(status, 201)
+        self.assert_in_force(THIRD_ROUTE, system.balancers)
+
     def test_older_configuration_does_not_return(self):
         system = self.system
         reads_before = self.add_route_and_lose_it()["reads"]
