Order versions given by authors above those of the store

Operators would see, during an upgrade of the fleet: a change of the configuration is not in force at processes of the previous release. Cause, found in review: the two releases compare different numbers, the store's version (530) and the operator's (18). Processes of the previous release would take those of this one for outdated, and these would fetch an older revision from them for ever. Change: versions that an author has given order above all versions of the store. Releases side by side were not played.

--- a/filberthollow/config/config.cc
+++ b/filberthollow/config/config.cc
@@ -174,7 +174,7 @@
       return read.error();
     }
     if (read->version > 0) {
-      object.version = read->version;
+      object.version = platform::AuthorVersionOf(read->version);
     }
     snapshot = std::move(*read);
   }
--- a/filberthollow/platform/object_store.h
+++ b/filberthollow/platform/object_store.h
@@ -50,6 +50,14 @@
   return version % kGenerationStride;
 }
 
+// An object may contain a version that its author has given it. Such versions
+// order above all versions of the store, so that processes that order an object
+// by one kind and by the other agree on which is newer.
+inline constexpr uint64_t kAuthorVersionBase = VersionOf(4000, 0);
+constexpr uint64_t AuthorVersionOf(uint64_t author_version) {
+  return kAuthorVersionBase + author_version;
+}
+
 // StoredObject is one version of an object. All objects of the store share one
 // version counter, so versions also order the changes of different objects.
 struct StoredObject {
