Keep and write back settings and keys that a restored store has lost

What operators can see: the store comes back from a copy; settings and keys changed after the copy are replaced by older ones in every balancer, objects created after it are removed, and nobody writes them again. Balancers and agents that start later never get the newest key. Cause: an object of the copy has a version of a later generation, hence a higher one, although its content is older; a missing object counted as deleted. Class: an order taken from a counter that can go back. Change: between generations contents decide (config::CompareObjects): tree objects by the operations that they list, keys by their epochs; if unrelated, the later generation wins. What the store has lost is kept and reported, and balancers that watch write it back on the version that the store has (config::WriteBack), spread over the fleet. Balancers of the product's own front end report the fleet's size for this.

--- a/filberthollow/balancer/members_task.cc
+++ b/filberthollow/balancer/members_task.cc
@@ -209,6 +209,16 @@
   }
   Transmit(m_gossip.OnRound());
   PublishViewIfChanged();
+  PostFleetSize();
+}
+
+void MembersTask::PostFleetSize() {
+  size_t size = m_gossip.balancer_count();
+  if (size != m_posted_fleet_size) {
+    m_posted_fleet_size = size;
+    Post(config::kConfigService,
+         config::ConfigMessage(config::FleetSizeChanged{size}));
+  }
 }
 
 void MembersTask::OnSuspicion(
--- a/filberthollow/balancer/members_task.h
+++ b/filberthollow/balancer/members_task.h
@@ -103,6 +103,8 @@
   // Runs one gossip round: suspects targets that are silent and sends the
   // messages of the round.
   void OnRound();
+  // Tells the config service how many balancers there are, if this changed.
+  void PostFleetSize();
   // Requests a snapshot from a random peer, again every kSnapshotRetryInterval
   // until one has arrived.
   void FetchInitialSnapshot();
@@ -132,6 +134,7 @@
   std::mt19937_64 m_random;
   bool m_snapshot_received = false;
   bool m_peer_list_complete = false;
+  size_t m_posted_fleet_size = 0;
   bool m_leaving = false;
   bool m_view_changed = false;
   bool m_view_scheduled = false;
--- a/filberthollow/config/config.cc
+++ b/filberthollow/config/config.cc
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <utility>
 
+#include "filberthollow/config/content_order.h"
 #include "filberthollow/settings/json_reader.h"
 #include "filberthollow/settings/tree_json.h"
 
@@ -163,6 +164,36 @@
   m_keys = m_keys.At(wall_now);
 }
 
+bool ConfigState::IsStillLost(const LostObject& lost) const {
+  auto held = m_objects.find(lost.held.name);
+  return held != m_objects.end() && held->second == lost.held;
+}
+
+bool ConfigState::Record(const platform::StoredObject& object,
+                         ConfigChange& change) {
+  auto [entry, first] = m_objects.try_emplace(object.name, object);
+  if (first) {
+    return true;
+  }
+  platform::StoredObject& held = entry->second;
+  ContentOrder order = CompareObjects(object, held);
+  bool newer = order == ContentOrder::kNewer;
+  // The store has the later generation, whose content is the older one.
+  bool lost =
+      order != ContentOrder::kSame && newer != (object.version > held.version);
+  uint64_t newest_version = std::max(object.version, held.version);
+  if (newer) {
+    held = object;
+  }
+  if (newer || order == ContentOrder::kSame) {
+    held.version = newest_version;
+  }
+  if (lost && held.value) {
+    change.lost.push_back({newest_version, held});
+  }
+  return newer;
+}
+
 base::Result<base::Done> ConfigState::ApplyIfNewer(
     platform::StoredObject object,
     ConfigSnapshot& updated,
@@ -178,14 +209,12 @@
     }
     snapshot = std::move(*read);
   }
-  auto held = m_objects.find(object.name);
-  if (held != m_objects.end() && held->second.version >= object.version) {
-    return base::Done{};
-  }
-  m_objects[object.name] = object;
   if (object.name.starts_with(platform::kTreePrefix)) {
     updated.revision = std::max(updated.revision, object.version);
   }
+  if (!Record(object, change)) {
+    return base::Done{};
+  }
   if (!snapshot) {
     return ApplyObject(object, updated, change);
   }
@@ -219,12 +248,21 @@
   for (const platform::StoredObject& object : objects) {
     names.insert(object.name);
   }
+  std::vector<LostObject> missing;
   for (const auto& [name, held] : m_objects) {
-    if (held.value && held.version < revision && !names.contains(name)) {
+    if (!held.value || held.version >= revision || names.contains(name)) {
+      continue;
+    }
+    if (platform::GenerationOf(held.version) ==
+        platform::GenerationOf(revision)) {
       objects.push_back({.name = name, .version = revision});
+    } else {
+      missing.push_back({.held = held});
     }
   }
-  return Apply(objects);
+  ConfigChange change = Apply(objects);
+  change.lost.insert(change.lost.end(), missing.begin(), missing.end());
+  return change;
 }
 
 }  // namespace filberthollow::config
--- a/filberthollow/config/config.h
+++ b/filberthollow/config/config.h
@@ -5,9 +5,9 @@
 // keeps the newest version of each object. Versions that are not newer are
 // ignored, so a slow watch, a stale peer or a store that has come back from a
 // copy cannot restore an older state. A snapshot that names its version
-// (settings::Snapshot::version) is ordered by it, and other objects by the
-// version in the store. An invalid object is reported, and the last valid
-// version of it stays in use.
+// (settings::Snapshot::version) is ordered by it, and other objects as
+// CompareObjects() tells. What a restored store has lost is reported. An
+// invalid object is reported, and the last valid version of it stays in use.
 //
 //   ConfigState state;
 //   ConfigChange change = state.Apply(objects);
@@ -54,11 +54,23 @@
                          const ConfigSnapshotChanged&) = default;
 };
 
+// An object that the store had before it came back from a copy. The store now
+// has an older version of it or none.
+struct LostObject {
+  // Version that the store has; 0 if the object is missing.
+  uint64_t store_version = 0;
+  platform::StoredObject held;  // as in ConfigState::objects()
+  friend bool operator==(const LostObject&, const LostObject&) = default;
+};
+
 // The effect of applying a set of objects.
 struct ConfigChange {
   bool snapshot = false;             // there is a new snapshot
   bool keys = false;                 // there are new keys
   std::vector<base::Error> refused;  // one error per invalid object
+  // Held objects that the store has lost. An object is reported again whenever
+  // an older version of it or its absence is found.
+  std::vector<LostObject> lost;
   friend bool operator==(const ConfigChange&, const ConfigChange&) = default;
 };
 
@@ -80,6 +92,9 @@
   ConfigChange Apply(const std::vector<platform::StoredObject>& objects);
   // Applies a complete list of the objects that existed at `revision`. Objects
   // of an older version that are missing from the list are treated as deleted.
+  // If their version is of an earlier generation, they are kept and reported as
+  // lost, except for a snapshot that names its version: its author writes it
+  // again.
   ConfigChange ApplyFullState(std::vector<platform::StoredObject> objects,
                               uint64_t revision);
   // Selects the signing key for the calendar time `wall_now`.
@@ -89,12 +104,17 @@
   const flow::KeyRing& keys() const { return m_keys; }
   uint64_t revision() const { return m_snapshot->revision; }
   // Returns the newest version of each object seen so far, by name. Includes
-  // deleted and invalid objects.
+  // deleted and invalid objects. The version of an object never decreases.
   const std::map<std::string, platform::StoredObject>& objects() const {
     return m_objects;
   }
+  // Returns whether the object is still held as it was when it was reported.
+  bool IsStillLost(const LostObject& lost) const;
 
  private:
+  // Records an object if it is newer than the held one; returns whether it is.
+  // Adds what the store has lost to `change`.
+  bool Record(const platform::StoredObject& object, ConfigChange& change);
   // Applies an object if it is newer than the held one. Sets the members of
   // `change` and, if the object belongs to the tree, the revision.
   base::Result<base::Done> ApplyIfNewer(platform::StoredObject object,
--- a/filberthollow/config/config_test.cc
+++ b/filberthollow/config/config_test.cc
@@ -9,6 +9,7 @@
 namespace {
 
 using platform::StoredObject;
+using platform::VersionOf;
 
 // Returns the object of the service "desk", with one setting.
 StoredObject DeskObject(uint64_t version, uint32_t slots) {
@@ -106,6 +107,132 @@
                  .snapshot);
 }
 
+// Returns an object of the service "desk" whose last write sets `slots` to the
+// number of writes.
+StoredObject EditedDesk(uint64_t version, uint32_t writes) {
+  std::string operations;
+  for (uint32_t write = 1; write <= writes; ++write) {
+    operations += (write > 1 ? ", \"" : "\"") + std::to_string(write) + "\"";
+  }
+  StoredObject object = DeskObject(version, writes);
+  object.value->replace(object.value->find("[]"), 2, "[" + operations + "]");
+  return object;
+}
+
+StoredObject KeysObject(uint64_t version, uint32_t newest_epoch) {
+  std::vector<flow::Key> keys;
+  for (uint32_t epoch = 1; epoch <= newest_epoch; ++epoch) {
+    keys.push_back({.epoch = epoch});
+  }
+  return {platform::kKeysObject, version, KeysText(keys)};
+}
+
+// Guards against a store that came back from a copy: the older settings in it
+// replaced the newer ones, since they had a higher version.
+BOOST_AUTO_TEST_CASE(SettingsThatARestoredStoreHasLostStayInForce) {
+  ConfigState state;
+  StoredObject held = EditedDesk(VersionOf(1, 18), 3);
+  state.Apply({held});
+  ConfigChange change =
+      state.ApplyFullState({EditedDesk(VersionOf(2, 15), 2)}, VersionOf(2, 15));
+  BOOST_TEST(DeskSlots(state) == 3U);
+  BOOST_REQUIRE(change.lost.size() == 1U);
+  BOOST_TEST((change.lost[0] == LostObject{VersionOf(2, 15), held}));
+  BOOST_TEST(state.IsStillLost(change.lost[0]));
+  BOOST_TEST(state.revision() == VersionOf(2, 15));
+
+  ConfigChange written_back = state.Apply({EditedDesk(VersionOf(2, 16), 3)});
+  BOOST_TEST(written_back.lost.empty());
+  BOOST_TEST(!state.IsStillLost(change.lost[0]));
+  BOOST_TEST(state.revision() == VersionOf(2, 16));
+  BOOST_TEST(DeskSlots(state) == 3U);
+  state.Apply({EditedDesk(VersionOf(2, 17), 4)});
+  BOOST_TEST(DeskSlots(state) == 4U);
+}
+
+// Guards against a store that came back from a copy: the newest key, which
+// processes hold already, was lost to processes that start later.
+BOOST_AUTO_TEST_CASE(KeysThatARestoredStoreHasLostStayInForce) {
+  ConfigState state;
+  state.Apply({KeysObject(VersionOf(1, 18), 3)});
+  ConfigChange change = state.Apply({KeysObject(VersionOf(2, 15), 2)});
+  BOOST_TEST(!change.keys);
+  BOOST_TEST(state.keys().newest_epoch() == 3U);
+  BOOST_REQUIRE(change.lost.size() == 1U);
+  BOOST_TEST(change.lost[0].store_version == VersionOf(2, 15));
+}
+
+// Guards against a store that came back from a copy made before an object was
+// created.
+BOOST_AUTO_TEST_CASE(ObjectsMissingInARestoredStoreAreLostAndNotDeleted) {
+  ConfigState state;
+  StoredObject held = EditedDesk(VersionOf(1, 18), 1);
+  state.Apply({held, KeysObject(VersionOf(1, 19), 1)});
+  ConfigChange change =
+      state.ApplyFullState({KeysObject(VersionOf(2, 15), 1)}, VersionOf(2, 15));
+  BOOST_TEST(DeskSlots(state) == 1U);
+  BOOST_REQUIRE(change.lost.size() == 1U);
+  BOOST_TEST((change.lost[0] == LostObject{0, held}));
+  // Within one generation a missing object was deleted.
+  change =
+      state.ApplyFullState({EditedDesk(VersionOf(2, 16), 1)}, VersionOf(2, 17));
+  BOOST_TEST(change.lost.empty());
+  BOOST_TEST(!state.objects().at(platform::kKeysObject).value.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(SettingsOnTopOfACopyReplaceThoseThatItLacks) {
+  ConfigState state;
+  state.Apply({EditedDesk(VersionOf(1, 18), 2)});
+  StoredObject other = EditedDesk(VersionOf(2, 16), 5);
+  other.value->replace(other.value->find("\"5\""), 3, "\"x\"");
+  other.value->replace(other.value->find("\"2\""), 3, "\"y\"");
+  BOOST_TEST(state.Apply({other}).lost.empty());
+  BOOST_TEST(DeskSlots(state) == 5U);
+  // A peer that has not seen it yet changes nothing.
+  state.Apply({EditedDesk(VersionOf(1, 18), 2)});
+  BOOST_TEST(DeskSlots(state) == 5U);
+}
+
+// A process that started after the restore learns from a peer what the store
+// has lost. Its version never decreases.
+BOOST_AUTO_TEST_CASE(APeerSuppliesWhatTheStoreHasLost) {
+  ConfigState state;
+  state.Apply({EditedDesk(VersionOf(2, 15), 2)});
+  ConfigChange change = state.Apply({EditedDesk(VersionOf(1, 18), 3)});
+  BOOST_TEST(DeskSlots(state) == 3U);
+  BOOST_TEST(state.objects().at("config/tree/service/desk").version ==
+             VersionOf(2, 15));
+  BOOST_REQUIRE(change.lost.size() == 1U);
+  BOOST_TEST(change.lost[0].store_version == VersionOf(2, 15));
+  BOOST_TEST(state.IsStillLost(change.lost[0]));
+}
+
+BOOST_AUTO_TEST_CASE(ADeletedServiceDoesNotReturnFromACopy) {
+  ConfigState state;
+  state.Apply({EditedDesk(VersionOf(1, 7), 1),
+               {"config/tree/service/desk", VersionOf(1, 18), std::nullopt}});
+  ConfigChange change =
+      state.ApplyFullState({EditedDesk(VersionOf(2, 7), 1)}, VersionOf(2, 15));
+  BOOST_TEST(state.snapshot()->tree.services.empty());
+  BOOST_TEST(change.lost.empty());
+}
+
+// The operator of the snapshot writes it again itself.
+BOOST_AUTO_TEST_CASE(ASnapshotThatNamesItsVersionIsNeverLost) {
+  ConfigState state;
+  settings::Snapshot snapshot{.version = 7};
+  snapshot.tree.services["desk"];
+  state.Apply({{platform::kSnapshotObject, VersionOf(1, 18),
+                settings::SnapshotText(snapshot)}});
+  ConfigChange change = state.ApplyFullState({}, VersionOf(2, 15));
+  BOOST_TEST(change.lost.empty());
+  BOOST_TEST(state.snapshot()->tree.services.contains("desk"));
+  change = state.Apply(
+      {{platform::kSnapshotObject, VersionOf(2, 16), R"({"version": 5})"}});
+  BOOST_TEST(change.lost.empty());
+  BOOST_TEST(state.snapshot()->tree.services.contains("desk"));
+}
+
 BOOST_AUTO_TEST_CASE(ADeletedServiceIsRemoved) {
   ConfigState state;
   state.Apply({DeskObject(1, 5)});
--- a/filberthollow/config/fleet_config_task.cc
+++ b/filberthollow/config/fleet_config_task.cc
@@ -24,10 +24,21 @@
                           kMaxRetryDelay,
                           m_options.seed + 1),
       m_state(m_options.read_snapshot),
-      m_activation(loop(), &base::WallMillis, [this](base::Millis wall_now) {
-        m_state.ActivateKeys(wall_now);
-        PublishKeys();
-      }) {}
+      m_activation(loop(),
+                   &base::WallMillis,
+                   [this](base::Millis wall_now) {
+                     m_state.ActivateKeys(wall_now);
+                     PublishKeys();
+                   }),
+      m_write_back(*m_store,
+                   {[this](base::Millis delay, std::function<void()> callback) {
+                      loop().After(delay, std::move(callback));
+                    },
+                    [this](const LostObject& lost) {
+                      return m_state.IsStillLost(lost);
+                    }},
+                   m_metrics,
+                   m_options.seed + 2) {}
 
 void FleetConfigTask::OnStart() {
   if (m_options.watch_store) {
@@ -156,6 +167,11 @@
     }
     m_listeners.on_objects(current_objects);
   }
+  if (m_options.watch_store) {
+    for (const LostObject& lost : change.lost) {
+      m_write_back.Start(lost, m_watch_retry.Spread(m_fleet_size));
+    }
+  }
 }
 
 void FleetConfigTask::PublishKeys() {
--- a/filberthollow/config/fleet_config_task.h
+++ b/filberthollow/config/fleet_config_task.h
@@ -1,7 +1,8 @@
 // FleetConfigTask is the config service of a process that needs the whole
 // configuration. It keeps the newest version of the configuration and passes
 // changes to listeners. It learns of changes by watching the platform's object
-// store, and from peers if the process does not watch or the watch is late. For
+// store, and from peers if the process does not watch or the watch is late. A
+// process that watches writes back what the store has lost; see WriteBack. For
 // a balancer it also writes the bootstrap entry, again if the store has come
 // back from a copy.
 //
@@ -23,6 +24,7 @@
 #include "filberthollow/config/config_messages.h"
 #include "filberthollow/config/key_activation.h"
 #include "filberthollow/config/store_retry.h"
+#include "filberthollow/config/write_back.h"
 #include "filberthollow/metrics/metrics.h"
 #include "filberthollow/net/http_client.h"
 #include "filberthollow/net/loop_task.h"
@@ -108,7 +110,8 @@
   // Logs that the store has come back from a copy, if `revision` is the first
   // of a new generation.
   void LogNewGeneration(uint64_t revision);
-  // Logs the errors in `change` and calls the listeners of what changed.
+  // Logs the errors in `change`, calls the listeners of what changed, and
+  // writes back what the store has lost.
   void Publish(const ConfigChange& change);
   // Passes the keys to the listeners and sets the timer that publishes them
   // again when the next key becomes active.
@@ -149,6 +152,7 @@
   // Whether the bootstrap entries are being read or a retry is scheduled.
   bool m_listing_balancers = false;
   metrics::Metrics m_metrics;
+  WriteBack m_write_back;
 };
 
 }  // namespace filberthollow::config
--- a/filberthollow/config/store_retry.cc
+++ b/filberthollow/config/store_retry.cc
@@ -14,23 +14,24 @@
     : m_reads_per_second(std::max<uint64_t>(reads_per_second, 1)),
       m_random(seed) {}
 
-base::Millis StoreRetry::FleetDelay(size_t fleet_size) const {
+base::Millis StoreRetry::Next(bool has_configuration, size_t fleet_size) {
+  base::Millis delay = has_configuration ? m_delay : kUnconfiguredDelay;
+  m_delay = std::min(m_delay * 2, kMaxDelay);
+  int64_t longest = std::max(delay, FleetDelay(fleet_size)).count();
   return base::Millis(
-      static_cast<int64_t>(fleet_size * kMillisPerSecond * kPercent /
-                           (m_reads_per_second * kMaxReadPercent)));
+      std::uniform_int_distribution<int64_t>(longest / 2, longest)(m_random));
 }
 
 base::Millis StoreRetry::Spread(size_t fleet_size) {
-  return base::Millis(std::uniform_int_distribution<int64_t>(
-      0, FleetDelay(fleet_size).count())(m_random));
+  int64_t longest = std::max(kInitialDelay, FleetDelay(fleet_size)).count();
+  return base::Millis(
+      std::uniform_int_distribution<int64_t>(0, longest)(m_random));
 }
 
-base::Millis StoreRetry::Next(bool has_configuration, size_t fleet_size) {
-  base::Millis delay = has_configuration ? m_delay : kUnconfiguredDelay;
-  m_delay = std::min(m_delay * 2, kMaxDelay);
-  int64_t longest = std::max(delay, FleetDelay(fleet_size)).count();
+base::Millis StoreRetry::FleetDelay(size_t fleet_size) const {
   return base::Millis(
-      std::uniform_int_distribution<int64_t>(longest / 2, longest)(m_random));
+      static_cast<int64_t>(fleet_size * kMillisPerSecond * kPercent /
+                           (m_reads_per_second * kMaxReadPercent)));
 }
 
 }  // namespace filberthollow::config
--- a/filberthollow/config/store_retry.h
+++ b/filberthollow/config/store_retry.h
@@ -1,4 +1,6 @@
-// Delays between failed calls to the object store that read the configuration.
+// Delays of calls to the object store that all processes make at one time:
+// failed calls that read the configuration, and writes of what a restored store
+// has lost.
 //
 // A process that has a configuration keeps serving with it, so it calls again
 // after a growing delay. A process that has none cannot accept new flows, so it
@@ -11,6 +13,7 @@
 //   StoreRetry retry(reads_per_second, seed);
 //   loop.After(retry.Next(has_configuration, fleet_size), call);
 //   retry.Reset();  // after a success
+//   loop.After(retry.Spread(fleet_size), write);
 #ifndef FILBERTHOLLOW_CONFIG_STORE_RETRY_H_
 #define FILBERTHOLLOW_CONFIG_STORE_RETRY_H_
 
@@ -42,15 +45,14 @@
   // the current delay and all of it, so that processes don't call in step.
   // `fleet_size` is the number of balancers that watch the store.
   base::Millis Next(bool has_configuration, size_t fleet_size);
-  // Returns a random delay before a call that all `fleet_size` balancers make
-  // for the same reason, for instance because the store has come back. Together
-  // they stay within the same share of the read rate.
+  // Returns the delay of a call that every balancer makes because of the same
+  // event: between 0 and kInitialDelay, up to longer in a large fleet.
   base::Millis Spread(size_t fleet_size);
   // Starts again with kInitialDelay. To be called after a success.
   void Reset() { m_delay = kInitialDelay; }
 
  private:
-  // Returns the time in which each balancer of the fleet may call once.
+  // Returns the delay at which the calls of the fleet take kMaxReadPercent.
   base::Millis FleetDelay(size_t fleet_size) const;
 
   const uint64_t m_reads_per_second;
--- a/filberthollow/config/store_retry_test.cc
+++ b/filberthollow/config/store_retry_test.cc
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 namespace filberthollow::config {
 namespace {
 
@@ -52,21 +54,26 @@
 }
 
 // Guards against a fleet that calls a store at the same moment, because it has
-// come back, and is turned away.
-BOOST_AUTO_TEST_CASE(CallsForTheSameReasonAreSpread) {
+// come back, and is turned away. The first of the fleet calls soon.
+BOOST_AUTO_TEST_CASE(CallsOfOneEventAreSpreadOverTheFleet) {
   constexpr size_t kBalancers = 1000;
   constexpr double kShare = kReadsPerSecond * StoreRetry::kMaxReadPercent / 100;
   StoreRetry retry(kReadsPerSecond, kSeed);
-  Millis first{kInForce};
-  Millis last{0};
+  Millis shortest = base::kNever;
+  Millis longest{0};
   for (size_t balancer = 0; balancer < kBalancers; ++balancer) {
     Millis delay = retry.Spread(kBalancers);
-    first = std::min(first, delay);
-    last = std::max(last, delay);
+    shortest = std::min(shortest, delay);
+    longest = std::max(longest, delay);
+    BOOST_TEST((retry.Spread(5) <= StoreRetry::kInitialDelay));
   }
-  double seconds = static_cast<double>((last - first).count()) / 1000;
+  constexpr int64_t kAll =
+      kBalancers * 1000 * 100 / (kReadsPerSecond * StoreRetry::kMaxReadPercent);
+  BOOST_TEST(shortest.count() < kAll / 100);
+  BOOST_TEST(longest.count() > kAll * 9 / 10);
+  BOOST_TEST(longest.count() <= kAll);
+  double seconds = static_cast<double>((longest - shortest).count()) / 1000;
   BOOST_TEST(kBalancers / seconds < 1.1 * kShare);
-  BOOST_TEST((retry.Spread(1) <= Millis(5)));
 }
 
 }  // namespace
