Agents keep newer keys than a restored store returns

What operators can see: the store comes back from a copy; an agent that reads the keys again before a balancer has written them back loses its newest key, and with it the flows whose tokens were signed with it. Cause: an agent replaced its keys by whatever it read. Change: it takes what it has read unless that is older (config::CompareObjects, as in balancers). It gets its store from a factory, as balancers do, so that a fake store can be passed.

--- a/filberthollow/agent/agent_process.cc
+++ b/filberthollow/agent/agent_process.cc
@@ -8,6 +8,7 @@
 #include "filberthollow/base/log.h"
 #include "filberthollow/config/agent_config_task.h"
 #include "filberthollow/daemon/daemon.h"
+#include "filberthollow/platform/http_object_store.h"
 
 namespace filberthollow::agent {
 namespace {
@@ -115,8 +116,11 @@
       clock, registry, *control,
       OptionsOf(file, identity, admin_address->port)));
   kernel.Add(std::make_unique<config::AgentConfigTask>(
-      clock, registry, file.platform, Listeners(registry),
-      std::random_device{}()));
+      clock, registry,
+      [server = file.platform](net::HttpClient& client) {
+        return std::make_unique<platform::HttpObjectStore>(client, server);
+      },
+      Listeners(registry), std::random_device{}()));
   kernel.Add(std::move(admin));
   base::Log(Level::kInfo, "listening",
             {{"role", "agent"},
--- a/filberthollow/config/agent_config_task.cc
+++ b/filberthollow/config/agent_config_task.cc
@@ -4,17 +4,18 @@
 #include <utility>
 
 #include "filberthollow/base/log.h"
+#include "filberthollow/config/content_order.h"
 
 namespace filberthollow::config {
 
 AgentConfigTask::AgentConfigTask(const base::Clock& clock,
                                  kernel::Registry& registry,
-                                 base::Address platform,
+                                 const StoreFactory& store,
                                  ConfigListeners listeners,
                                  uint64_t seed)
     : LoopTask(clock, registry, kConfigService),
       m_client(loop()),
-      m_store(m_client, platform),
+      m_store(store(m_client)),
       m_listeners(std::move(listeners)),
       m_backoff(FleetConfigTask::kInitialRetryDelay,
                 FleetConfigTask::kMaxRetryDelay,
@@ -62,7 +63,7 @@
 void AgentConfigTask::ReadKeys() {
   m_reading_keys = true;
   m_metrics.Add("platform_reads");
-  m_store.Read(platform::kKeysObject, [this](const auto& object) {
+  m_store->Read(platform::kKeysObject, [this](const auto& object) {
     auto keys =
         object ? ParseKeyRing(object->value.value_or(""), base::WallMillis())
                : base::Result<flow::KeyRing>(object.error());
@@ -73,8 +74,11 @@
     }
     m_reading_keys = false;
     m_backoff.Reset();
-    m_keys = *keys;
-    PublishKeys();
+    if (CompareObjects(*object, m_keys_object) != ContentOrder::kOlder) {
+      m_keys_object = *object;
+      m_keys = *keys;
+      PublishKeys();
+    }
   });
 }
 
@@ -86,7 +90,7 @@
 void AgentConfigTask::ListBalancers() {
   m_listing_balancers = true;
   m_metrics.Add("platform_reads");
-  m_store.Watch(
+  m_store->Watch(
       {platform::kBootstrapPrefix, 0, base::Millis(0)},
       [this](const auto& answer) {
         std::vector<base::Address> balancers;
--- a/filberthollow/config/agent_config_task.h
+++ b/filberthollow/config/agent_config_task.h
@@ -1,14 +1,18 @@
 // AgentConfigTask is the config service of an agent. At start it reads the keys
 // and the list of balancers from the platform. It reads the keys again when a
 // balancer uses a newer key epoch, and the list when too few of the known
-// balancers answer. The settings of the agent's target are not read here:
-// balancers send them with their answers to heartbeats.
+// balancers answer. It keeps the held keys if a store that has come back from a
+// copy returns older ones. The settings of the agent's target are not read
+// here: balancers send them with their answers to heartbeats.
 #ifndef FILBERTHOLLOW_CONFIG_AGENT_CONFIG_TASK_H_
 #define FILBERTHOLLOW_CONFIG_AGENT_CONFIG_TASK_H_
 
+#include <memory>
+#include <random>
+
 #include "filberthollow/config/fleet_config_task.h"
 #include "filberthollow/config/key_activation.h"
-#include "filberthollow/platform/http_object_store.h"
+#include "filberthollow/platform/object_store.h"
 
 namespace filberthollow::config {
 
@@ -23,7 +27,7 @@
 
   AgentConfigTask(const base::Clock& clock,
                   kernel::Registry& registry,
-                  base::Address platform,
+                  const StoreFactory& store,
                   ConfigListeners listeners,
                   uint64_t seed);  // for the random delays
 
@@ -38,7 +42,8 @@
   void Handle(const PeerObjects& /*m*/) {}
   void Handle(const FleetSizeChanged& /*m*/) {}
   void Handle(const admin::ReportQuery& m);
-  // Reads the keys and publishes them. Retries until it succeeds.
+  // Reads the keys and publishes them unless they are older than those held.
+  // Retries until it succeeds.
   void ReadKeys();
   // Passes the keys to the listeners and sets the timer that publishes them
   // again when the next key becomes active.
@@ -48,11 +53,12 @@
   void ListBalancers();
 
   net::HttpClient m_client;
-  platform::HttpObjectStore m_store;
+  const std::unique_ptr<platform::ObjectStore> m_store;
   const ConfigListeners m_listeners;
   Backoff m_backoff;
   std::mt19937_64 m_random;
   flow::KeyRing m_keys;
+  platform::StoredObject m_keys_object;  // from which m_keys was read
   KeyActivationTimer m_activation;
   // Whether a read of the keys is scheduled or in progress.
   bool m_reading_keys = false;
