--- a/filberthollow/decision/flows/flow_router_test.cc
+++ b/filberthollow/decision/flows/flow_router_test.cc
@@ -729,7 +729,7 @@
 // Guards against a balancer that resets open flows after it did not run for a
 // while: it handles the datagrams that have arrived meanwhile before its first
 // tick.
-BOOST_FIXTURE_TEST_CASE(PausedBalancerResetsNoFlow, IdempotentFlow) {
+BOOST_FIXTURE_TEST_CASE(FirstPacketAfterPauseResetsNoFlow, IdempotentFlow) {
   Report(kSecondAgent);
   now = now + FlowRouter::kMinSilence * 5;
   for (uint32_t sequence : {101U, 601U, 1101U}) {
