Don't reset a new flow that an upstream may still accept

Callers could see: a flow that an upstream had just accepted was reset by the balancer. Cause, found in review: an agent refuses an offer that its upstream has not answered within 50 ms. The upstream has the packet and may accept it later, but the balancer took this for a refusal, and reset the flow if no other upstream was left. Evidence: FlowThatASlowUpstreamMayAcceptIsNotReset failed before (reset no_agent). Change: such a refusal counts as no answer: other upstreams are offered the flow, and if none takes it, the packet is dropped. The caller sends it again after 200 and 600 ms; by then the agent has reported the silence.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -318,6 +318,10 @@
   }
   if (answer.holding == Holding::kRefused) {
     bool current = offer != m_offers.end() && offer->second.agent == agent;
+    if (current && answer.reason == Reason::kUpstreamSilent) {
+      // The upstream has the packet and may still accept the flow.
+      offer->second.any_unanswered = true;
+    }
     if (current && !OfferNext(answer.flow, offer->second, now, actions)) {
       m_offers.erase(offer);
     }
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -280,7 +280,8 @@
     base::Millis sent_at;
     base::Millis received_at;  // when the caller's packet arrived
     std::vector<base::Address> tried;
-    bool any_unanswered = false;  // at least one of `tried` has not answered
+    // Whether at least one agent or upstream of `tried` has not answered.
+    bool any_unanswered = false;
   };
   // AgentAnswer is the state of one agent in a search.
   struct AgentAnswer {
--- a/filberthollow/decision/flows/flow_router_test.cc
+++ b/filberthollow/decision/flows/flow_router_test.cc
@@ -121,6 +121,16 @@
   BOOST_TEST((ActionsOfType<ResetCaller>(last)[0].reason == Reason::kNoAgent));
 }
 
+// Guards against a reset of a flow that its only upstream accepts late.
+BOOST_FIXTURE_TEST_CASE(FlowThatASlowUpstreamMayAcceptIsNotReset, Fixture) {
+  WaitForDiscovery({kFirstAgent});
+  FromCaller(Opening());
+  RouterActions end =
+      Answer(kFirstAgent, Holding::kRefused, Reason::kUpstreamSilent);
+  BOOST_TEST(ActionsOfType<ResetCaller>(end).empty());
+  BOOST_TEST(ActionsOfType<DropPacket>(end).size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(UnansweredOfferGoesToNextUpstream, Fixture) {
   WaitForDiscovery({kFirstAgent, kSecondAgent});
   auto first = ActionsOfType<SendForward>(FromCaller(Opening())).at(0).agent;
