A copy of an opening packet leaves a restarted agent unsure

Callers could see: an open flow reset, after its agent had restarted while the flow opened. Cause, found in review: a restarted agent takes a copy of the opening packet for a new flow, and until its upstream answers it denied that the upstream holds the flow. Evidence: CopyOfOpeningPacketLeavesAgentUnsure failed before (not held instead of unsure). Change: an agent that can't know all flows is unsure of a flow without a packet of its upstream. A probe of such a flow that bounces resets nobody.

--- a/filberthollow/decision/flows/upstream_gate.cc
+++ b/filberthollow/decision/flows/upstream_gate.cc
@@ -37,14 +37,13 @@
                                 uint32_t acknowledged,
                                 base::Millis now) const {
   auto found = m_flows.find(ends);
-  if (found == m_flows.end()) {
+  // A flow without a packet of the upstream is new, or was open before this
+  // agent started and its caller has sent a copy of the opening packet.
+  if (found == m_flows.end() || !found->second.accepted) {
     bool known_not_held = KnowsAllFlows(now) || m_probes.IsKnownNotHeld(ends);
     return known_not_held ? Holding::kNotHeld : Holding::kUnsure;
   }
   const Flow& flow = found->second;
-  if (!flow.accepted) {
-    return Holding::kNotHeld;
-  }
   // Two upstreams may have accepted copies of one opening packet. The caller
   // continues with the one whose sequence numbers it acknowledges.
   int32_t distance = flow::SequenceDistance(acknowledged, flow.upstream_end);
@@ -113,7 +112,8 @@
                now, actions);
     return;
   }
-  if (auto found = m_flows.find(ends); found != m_flows.end()) {
+  if (auto found = m_flows.find(ends);
+      found != m_flows.end() && found->second.accepted) {
     found->second.balancer = balancer;
     if (BufferIfFull(found->second, forward, header, now)) {
       if (header.finishes) {
@@ -311,7 +311,7 @@
     }
     return;
   }
-  if (found == m_flows.end()) {
+  if (found == m_flows.end() || !found->second.accepted) {
     if (auto probe = m_probes.RecordBounce(ends, now)) {
       SendAnswer(probe->balancer, ends, Holding::kNotHeld, Reason::kNoSuchFlow,
                  std::move(probe->packet), now, actions);
--- a/filberthollow/decision/flows/upstream_gate_test.cc
+++ b/filberthollow/decision/flows/upstream_gate_test.cc
@@ -159,6 +159,30 @@
   BOOST_TEST((AskHolding() == Holding::kHeld));
 }
 
+// Guards against an agent that restarts while a flow opens, and takes a copy of
+// the opening packet for a new flow.
+BOOST_FIXTURE_TEST_CASE(CopyOfOpeningPacketLeavesAgentUnsure, RestartedAgent) {
+  Forward(Opening());
+  BOOST_TEST((AskHolding() == Holding::kUnsure));
+  FromUpstream(Acceptance());
+  BOOST_TEST((AskHolding() == Holding::kHeld));
+}
+
+// Another upstream may hold the flow.
+BOOST_FIXTURE_TEST_CASE(BouncedProbeOfOfferedFlowDoesNotResetCaller,
+                        RestartedAgent) {
+  Forward(Opening());
+  auto probe =
+      decision::flows::Forward{.revision = 5, .probe = true, .packet = "p"};
+  BOOST_TEST(
+      ActionsOfType<DeliverToUpstream>(Forward(Data(101, 500), probe)).size() ==
+      1U);
+  GateActions end = FromUpstream(Bounced(Data(101, 500)));
+  BOOST_TEST(ActionsOfType<ResetCaller>(end).empty());
+  BOOST_TEST(ActionsOfType<AnswerBalancer>(end).size() == 1U);
+  BOOST_TEST((AskHolding() == Holding::kNotHeld));
+}
+
 // Guards against counting retransmissions of requests that were answered before
 // the agent restarted, which made the upstream appear to be at capacity.
 BOOST_FIXTURE_TEST_CASE(RetransmittedRequestIsNotCountedAgain, RestartedAgent) {
