--- a/filberthollow/platform/http_object_store.cc
+++ b/filberthollow/platform/http_object_store.cc
@@ -164,7 +164,7 @@
                             Handler<WriteAnswer> done) {
   bool create = if_version == 0;
   if (!create && GenerationOf(if_version) != m_generation) {
-    ReportConflict(name, std::move(done));
+    ReportConflict(name, done);
     return;
   }
   net::HttpRequest request{
@@ -184,7 +184,7 @@
                              uint64_t if_version,
                              Handler<WriteAnswer> done) {
   if (GenerationOf(if_version) != m_generation) {
-    ReportConflict(name, std::move(done));
+    ReportConflict(name, done);
     return;
   }
   net::HttpRequest request{
@@ -239,7 +239,7 @@
 }
 
 void HttpObjectStore::ReportConflict(const std::string& name,
-                                     Handler<WriteAnswer> done) {
+                                     const Handler<WriteAnswer>& done) {
   Read(name, [done](const base::Result<StoredObject>& object) {
     if (!object) {
       done(object.error());
--- a/filberthollow/platform/http_object_store.h
+++ b/filberthollow/platform/http_object_store.h
@@ -87,7 +87,8 @@
   void Start(net::HttpRequest request, net::HttpClient::Handler done);
   // ReportConflict reads the object's present version and reports it as the
   // cause of a conflict.
-  void ReportConflict(const std::string& name, Handler<WriteAnswer> done);
+  void ReportConflict(const std::string& name,
+                      const Handler<WriteAnswer>& done);
   // MakeFailure returns the error for a request that failed or was answered
   // with an unexpected HTTP status.
   base::Error MakeFailure(const net::HttpResult& result,
