Count a flow that its caller closes last as closed

Cause: UpstreamGate::RecordCallerPacket closed a flow when the caller reset it or finished after the upstream, but only OnUpstreamPacket lowered the count of open flows. The reported load grew with the age of the agent, and at the connection limit every new flow was refused.

Change: one method, Close(), ends a flow and counts it.

--- a/filberthollow/decision/flows/upstream_gate.cc
+++ b/filberthollow/decision/flows/upstream_gate.cc
@@ -207,7 +207,7 @@
   }
   flow.caller_finished = flow.caller_finished || header.finishes;
   if (header.resets || (flow.caller_finished && flow.upstream_finished)) {
-    flow.stage = Stage::kClosed;
+    Close(flow);
   }
   uint32_t end = header.sequence + header.data_bytes;
   bool advances = AdvancesSequence(flow, header);
@@ -243,7 +243,7 @@
   }
   flow.upstream_finished = flow.upstream_finished || header.finishes;
   if (header.resets || (flow.caller_finished && flow.upstream_finished)) {
-    flow.stage = Stage::kClosed;
+    Close(flow);
   }
   bool done = header.finishes || flow.stage == Stage::kClosed;
   if (header.data_bytes > 0 || done) {
@@ -283,9 +283,6 @@
         now - flow.offered_at});
   }
   RecordUpstreamPacket(flow, header, now);
-  if (was_open && flow.stage == Stage::kClosed) {
-    --m_open_flows;
-  }
   DeliverQueuedRequests(now, actions);
   if (auto probe = m_probes.Confirm(ends)) {
     SendAnswer(probe->balancer, ends, Holding::kHeld, {}, "", now, actions);
@@ -338,6 +335,19 @@
   return Erase(flow, now);
 }
 
+void UpstreamGate::Close(Flow& flow) {
+  if (flow.stage != Stage::kClosed) {
+    flow.stage = Stage::kClosed;
+    --m_open_flows;
+  }
+}
+
+size_t UpstreamGate::CountOpenFlows() const {
+  return std::count_if(m_flows.begin(), m_flows.end(), [](const auto& entry) {
+    return entry.second.stage != Stage::kClosed;
+  });
+}
+
 UpstreamGate::Flows::iterator UpstreamGate::Erase(Flows::iterator flow,
                                                   base::Millis now) {
   SetRequestPending(flow->first, flow->second, false, now);
--- a/filberthollow/decision/flows/upstream_gate.h
+++ b/filberthollow/decision/flows/upstream_gate.h
@@ -149,6 +149,9 @@
   // Returns the number of flows in the table, including offers and closed flows
   // that have not been removed yet.
   size_t flows() const { return m_flows.size(); }
+  // Returns the number of flows in the table that are not closed, by counting
+  // them. Equals `open_flows` of the reported load.
+  size_t CountOpenFlows() const;
 
  private:
   // A flow is kOffered until a packet that the caller sent after the opening
@@ -267,6 +270,8 @@
   // Removes flows that were closed or idle for too long.
   void DropOldFlows(base::Millis now);
   Flows::iterator Erase(Flows::iterator flow, base::Millis now);
+  // Marks the flow as closed.
+  void Close(Flow& flow);
   load::UpstreamLoad CurrentLoad(base::Millis now) const;
   // Returns the state that balancers should assume for the upstream.
   UpstreamState ReportedState(base::Millis now) const;
