Discovery that does not grow with the fleet: first reports confirmed, joining agents known to all

A balancer that starts may not call a flow lost for twice the longest report interval: 5.9 s with 59 balancers, longer than the callers' deadline of 3 s. After the loss of power no flow is reset from 36.8 to 42 s. Now an agent repeats its first report to a balancer every 0.15 s until the balancer confirms it, so the period is 1 s at any size; without losses no message is added. Hellos name 16 of 69 balancers, and all balancers moved through the list in step, so that a joining agent heard the same 16 names from each and learnt of the last ones after some 17 s. Now the names differ by balancer and peer: all are known after three exchanges (four with 1,000 balancers). A new name no longer makes an agent report again to all balancers that have not answered yet.

Ruled out: the rate limit of searches (questions were sent at once), silence of agents (three agents, which are gone for good).

Tests seen failing: DiscoveryOfAgentsThatRepeatReportsIsIndependentOfFleet, JoiningAgentKnowsAllBalancersAfterAFewExchanges.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -89,7 +89,9 @@
 bool FlowRouter::OnReport(const UpstreamReport& report,
                           base::Address agent,
                           base::Millis now) {
-  m_longest_interval = std::max(m_longest_interval, report.interval);
+  if (report.confirmation == ReportConfirmation::kUnsupported) {
+    m_longest_interval = std::max(m_longest_interval, report.interval);
+  }
   m_newest_revision = std::max(m_newest_revision, report.revision);
   auto [known, added] = m_agents.try_emplace(agent);
   m_agents_added += added ? 1 : 0;
@@ -97,10 +99,16 @@
   known->second = Agent{.report = report,
                         .heard_at = now,
                         .load_reported_at = now,
-                        .silent = known->second.silent};
+                        .silent = known->second.silent,
+                        .reported = true};
   return starts_leaving;
 }
 
+bool FlowRouter::HasReportOf(base::Address agent) const {
+  auto found = m_agents.find(agent);
+  return found != m_agents.end() && found->second.reported;
+}
+
 void FlowRouter::OnKnownAgents(const KnownAgents& known, base::Millis now) {
   for (const KnownAgent& named : known.agents) {
     base::Millis heard_at = now - named.heard_ago;
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -181,9 +181,11 @@
   // A balancer that has just started may not have heard of all agents. During
   // kDiscoveryPeriod new flows wait for an agent, and no search ends with the
   // result that a flow is lost. When it ends, callers still have time to try
-  // elsewhere. Large fleets have longer report intervals, so searches wait for
-  // at least kDiscoveryReports of the longest interval: one report may be lost,
-  // and so may the report that agents send to a new balancer at once.
+  // elsewhere. Agents repeat their first report within this period until the
+  // balancer confirms it. Those of the previous release don't; they report at
+  // an interval that grows with the fleet, so with such agents searches wait
+  // for at least kDiscoveryReports of the longest interval: one report may be
+  // lost, and so may the report that agents send to a new balancer at once.
   static constexpr base::Millis kDiscoveryPeriod{1000};
   static constexpr int64_t kDiscoveryReports = 2;
   // kMaxTickGap: a longer gap between ticks means that this process was paused.
@@ -227,6 +229,8 @@
   bool OnReport(const UpstreamReport& report,
                 base::Address agent,
                 base::Millis now);
+  // Returns whether a report of the agent has been received.
+  bool HasReportOf(base::Address agent) const;
   // OnKnownAgents records agents that another balancer knows, so that their
   // flows are not taken for lost only because this balancer has not heard the
   // agents. What this one has heard since is not replaced.
@@ -269,6 +273,7 @@
     // Whether this balancer has received a message of the agent. If not, it
     // was named by another balancer.
     bool heard = true;
+    bool reported = false;  // whether it has received a report of the agent
   };
   struct KnownFlow {
     base::Address agent;
@@ -450,7 +455,8 @@
   ByFlow<Search> m_searches;
   LocateQueue m_questions;
   base::Millis m_last_tick;
-  base::Millis m_longest_interval{0};  // longest report interval of any agent
+  // Longest report interval of the agents that don't repeat their first report.
+  base::Millis m_longest_interval{0};
   // Newest revision of the configuration that any peer has reported recently.
   uint64_t m_newest_revision = 0;
   bool m_isolated = false;  // see kIsolationTimeout
--- a/filberthollow/decision/flows/flow_router_discovery_test.cc
+++ b/filberthollow/decision/flows/flow_router_discovery_test.cc
@@ -65,6 +65,39 @@
   BOOST_TEST((sent[0].agent == kSecondAgent));
 }
 
+// After a power failure of a large fleet callers wait on flows that are lost,
+// and give up before a discovery that takes as long as two report intervals.
+BOOST_FIXTURE_TEST_CASE(DiscoveryOfAgentsThatRepeatReportsIsIndependentOfFleet,
+                        Fixture) {
+  constexpr Millis kLongInterval{2950};
+  auto report = [this](ReportConfirmation confirmation) {
+    router.OnReport({.service = testing::kDesk,
+                     .state = UpstreamState::kReady,
+                     .interval = kLongInterval,
+                     .confirmation = confirmation},
+                    kFirstAgent, now);
+  };
+  report(ReportConfirmation::kWanted);
+  FromCaller(Data(101, 500));
+  BOOST_TEST(ActionsOfType<ResetCaller>(Answer(kFirstAgent, Holding::kNotHeld))
+                 .empty());
+  RouterActions end = AdvanceTime(FlowRouter::kDiscoveryPeriod + kStep, {});
+  BOOST_TEST(ActionsOfType<ResetCaller>(end).size() == 1U);
+}
+
+// A report of an agent is confirmed only if it was received; an answer of the
+// agent to a question says nothing of its upstream's state.
+BOOST_FIXTURE_TEST_CASE(OnlyAReceivedReportIsConfirmed, Fixture) {
+  BOOST_TEST(!router.HasReportOf(kFirstAgent));
+  router.OnKnownAgents({{{kFirstAgent, testing::kDesk, false, Millis(0)}}},
+                       now);
+  FromCaller(Data(101, 500));
+  Answer(kFirstAgent, Holding::kNotHeld);
+  BOOST_TEST(!router.HasReportOf(kFirstAgent));
+  Report(kFirstAgent);
+  BOOST_TEST(router.HasReportOf(kFirstAgent));
+}
+
 // The balancer may be cut off from all agents, which may hold the flow.
 BOOST_FIXTURE_TEST_CASE(BalancerWithoutAgentsResetsNoFlow, Fixture) {
   FromCaller(Data(101, 500));
--- a/filberthollow/decision/flows/packet_messages.h
+++ b/filberthollow/decision/flows/packet_messages.h
@@ -44,6 +44,16 @@
                          const UpstreamHeartbeat&) = default;
 };
 
+// ReportConfirmation tells what the sender of a report knows of its arrival.
+enum class ReportConfirmation : uint8_t {
+  // The agent runs a release that does not repeat its first report.
+  kUnsupported,
+  // The balancer has confirmed no report since it started. It confirms this one
+  // at once.
+  kWanted,
+  kReceived,
+};
+
 // UpstreamReport is sent periodically by an agent to balancers. It describes
 // the upstream of the agent.
 struct UpstreamReport {
@@ -58,6 +68,7 @@
   // The agent is about to stop while its upstream keeps running and keeps its
   // flows, so missing reports do not mean that the flows are lost.
   bool leaving = false;
+  ReportConfirmation confirmation{};
   friend bool operator==(const UpstreamReport&,
                          const UpstreamReport&) = default;
 };
@@ -71,6 +82,8 @@
   // A balancer that has just started and does not know all agents yet. An agent
   // that receives this reports to it at once. Empty if there is none.
   base::Address newcomer;
+  // To an agent: whether the balancer has received a report of it.
+  bool confirms_report = false;
   friend bool operator==(const BalancerHello&, const BalancerHello&) = default;
 };
 
--- a/filberthollow/decision/membership/balancer_set.cc
+++ b/filberthollow/decision/membership/balancer_set.cc
@@ -35,6 +35,11 @@
   return entry.heard && now - entry.heard_at < timeout;
 }
 
+bool BalancerSet::IsLive(base::Address balancer, base::Millis now) const {
+  auto found = m_balancers.find(balancer);
+  return found != m_balancers.end() && IsLive(found->second, now);
+}
+
 void BalancerSet::Forget(base::Millis now) {
   base::Millis timeout =
       std::max(kMinForgetTimeout, m_interval * kMissedHellosToForget);
@@ -117,23 +122,22 @@
   });
 }
 
-std::vector<base::Address> BalancerSet::Advertised(base::Millis now) const {
+std::vector<base::Address> BalancerSet::Advertised(base::Address peer,
+                                                   base::Millis now) const {
   std::vector<base::Address> candidates = LiveNotLeaving(now);
   if (candidates.size() <= kMaxAdvertised) {
     return candidates;
   }
-  auto first =
-      std::upper_bound(candidates.begin(), candidates.end(), m_last_advertised);
-  std::rotate(candidates.begin(), first, candidates.end());
+  uint64_t first =
+      base::HashWords({m_self.ip, m_self.port, peer.ip, peer.port}) %
+          candidates.size() +
+      m_advertised_round * kMaxAdvertised;
+  std::rotate(
+      candidates.begin(),
+      candidates.begin() + static_cast<ptrdiff_t>(first % candidates.size()),
+      candidates.end());
   candidates.resize(kMaxAdvertised);
   return candidates;
 }
 
-void BalancerSet::AdvanceAdvertised(base::Millis now) {
-  std::vector<base::Address> advertised = Advertised(now);
-  if (!advertised.empty()) {
-    m_last_advertised = advertised.back();
-  }
-}
-
 }  // namespace filberthollow::decision::membership
--- a/filberthollow/decision/membership/balancer_set.h
+++ b/filberthollow/decision/membership/balancer_set.h
@@ -64,6 +64,8 @@
   // out.
   std::vector<BalancerLivenessChange> TakeLivenessChanges(base::Millis now);
 
+  // Returns whether the balancer is known and not silent.
+  bool IsLive(base::Address balancer, base::Millis now) const;
   // Returns the balancers that are not silent.
   std::vector<base::Address> Live(base::Millis now) const;
   // Returns the balancers that are silent or have never sent a hello.
@@ -77,14 +79,18 @@
   std::vector<base::Address> LiveNotLeaving(base::Millis now) const;
   // Maximum number of balancers that a hello advertises.
   static constexpr size_t kMaxAdvertised = 16;
-  // Returns the balancers to advertise in hellos: all that are live and not
-  // leaving, or in a larger fleet a batch of kMaxAdvertised of them, so that a
-  // hello stays small.
-  std::vector<base::Address> Advertised(base::Millis now) const;
-  // Moves on to the next batch of balancers to advertise. Call it only after
-  // every peer has been sent a hello with the current batch, so that every peer
-  // eventually learns of all balancers.
-  void AdvanceAdvertised(base::Millis now);
+  // Returns the balancers to advertise in a hello to `peer`: all that are live
+  // and not leaving, or in a larger fleet a batch of kMaxAdvertised of them, so
+  // that a hello stays small. Different balancers advertise different batches
+  // to a peer. An agent that joins therefore knows the whole fleet after three
+  // exchanges and can report to it; a balancer that it does not know would take
+  // the flows of its upstream for lost.
+  std::vector<base::Address> Advertised(base::Address peer,
+                                        base::Millis now) const;
+  // Moves on to the next batches. Call it only after every peer has been sent a
+  // hello with its current batch, so that every peer eventually learns of all
+  // balancers.
+  void AdvanceAdvertised() { ++m_advertised_round; }
   // Number of balancers that notify a peer of a new balancer.
   static constexpr size_t kNotifiersPerPeer = 3;
   // Returns whether this balancer is one of the kNotifiersPerPeer that send
@@ -123,8 +129,7 @@
   const base::Address m_self;
   base::Millis m_interval{1000};
   std::map<base::Address, Entry> m_balancers;
-  // Last balancer of the previous batch; the current batch starts after it.
-  base::Address m_last_advertised;
+  uint64_t m_advertised_round = 0;
 };
 
 }  // namespace filberthollow::decision::membership
--- a/filberthollow/decision/membership/balancer_set_test.cc
+++ b/filberthollow/decision/membership/balancer_set_test.cc
@@ -144,13 +144,13 @@
   std::set<Address> advertised;
   for (size_t round = 0; round <= kFleet / BalancerSet::kMaxAdvertised;
        ++round) {
-    std::vector<Address> batch = set.Advertised(Millis(1));
+    std::vector<Address> batch = set.Advertised(kOther, Millis(1));
     BOOST_TEST(batch.size() == BalancerSet::kMaxAdvertised);
     // The batch must not change between the hellos of a round. Otherwise a peer
     // could receive the same batch in every round.
-    BOOST_TEST((set.Advertised(Millis(1)) == batch));
+    BOOST_TEST((set.Advertised(kOther, Millis(1)) == batch));
     advertised.insert(batch.begin(), batch.end());
-    set.AdvanceAdvertised(Millis(1));
+    set.AdvanceAdvertised();
   }
   BOOST_TEST(advertised.size() == kFleet);
 }
@@ -158,7 +158,48 @@
 BOOST_AUTO_TEST_CASE(AHelloOfASmallFleetAdvertisesAll) {
   BalancerSet set(kSelf);
   set.OnHello(kOther, kRun, false, Millis(0));
-  BOOST_TEST((set.Advertised(Millis(1)) == std::vector{kOther}));
+  BOOST_TEST((set.Advertised({3, 10}, Millis(1)) == std::vector{kOther}));
+}
+
+// Returns the number of exchanges after which an agent that joins knows all
+// balancers, if it reports to those that it knows and each answers with a
+// hello.
+size_t ExchangesUntilAgentKnowsAll(uint32_t fleet) {
+  constexpr uint32_t kSeeds = 3;
+  constexpr size_t kMaxExchanges = 100;
+  constexpr Address kAgent{5, 20};
+  std::vector<Address> all;
+  for (uint32_t i = 0; i < fleet; ++i) {
+    all.push_back({100 + i, 10});
+  }
+  std::set<Address> known(all.begin(), all.begin() + kSeeds);
+  std::set<Address> answered;
+  size_t exchanges = 0;
+  while (known.size() < fleet && exchanges < kMaxExchanges) {
+    ++exchanges;
+    for (Address balancer : std::set<Address>(known)) {
+      if (!answered.insert(balancer).second) {
+        continue;
+      }
+      BalancerSet set(balancer);
+      for (Address other : all) {
+        set.OnHello(other, kRun, false, Millis(0));
+      }
+      std::vector<Address> named = set.Advertised(kAgent, Millis(1));
+      known.insert(named.begin(), named.end());
+    }
+  }
+  return exchanges;
+}
+
+// Guards against an agent that joins a fleet of 69 balancers and hears the same
+// 16 names from each: the other balancers did not know it for many seconds, and
+// reset its flows.
+BOOST_AUTO_TEST_CASE(JoiningAgentKnowsAllBalancersAfterAFewExchanges) {
+  BOOST_TEST(ExchangesUntilAgentKnowsAll(4) == 1U);
+  BOOST_TEST(ExchangesUntilAgentKnowsAll(69) <= 3U);
+  BOOST_TEST(ExchangesUntilAgentKnowsAll(300) <= 4U);
+  BOOST_TEST(ExchangesUntilAgentKnowsAll(1000) <= 4U);
 }
 
 }  // namespace
--- a/filberthollow/lab/fleet_model.cc
+++ b/filberthollow/lab/fleet_model.cc
@@ -276,6 +276,8 @@
   Agent& agent = *m_agents[index];
   flows::UpstreamReport report = agent.gate->Report(m_engine.Now());
   report.interval = m_report_interval;
+  // Lost reports are not repeated; the lab models load, not discovery.
+  report.confirmation = flows::ReportConfirmation::kReceived;
   if (agent.lies) {
     report.load.in_flight = 0;
     report.load.in_flight_mean = 0;
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -76,13 +76,13 @@
 }
 
 void AgentTask::Handle(const BalancersFound& m) {
-  bool added = false;
+  std::vector<base::Address> added;
   for (base::Address balancer : m.balancers) {
-    added |= m_balancers.Add(balancer, Now());
-  }
-  if (added) {
-    SendReports(m_balancers.Silent(Now()));
+    if (m_balancers.Add(balancer, Now())) {
+      added.push_back(balancer);
+    }
   }
+  SendReports(added);
 }
 
 void AgentTask::Handle(const HeartbeatReceived& m) {
@@ -182,12 +182,15 @@
 void AgentTask::HandlePeerMessage(const decision::flows::BalancerHello& m,
                                   base::Address from) {
   NotifyIfNewerRevision(m.revision, m_gate.revision(), from);
-  if (m_balancers.OnHello(from, m.run, m.leaving, Now())) {
-    SendReports({from});
+  bool has_started = m_balancers.OnHello(from, m.run, m.leaving, Now());
+  if (m.confirms_report) {
+    m_first_reports.OnConfirmed(from, Now());
+  } else if (has_started) {
+    SendFirstReport(from);
   }
   if (m.newcomer != base::Address{}) {
     m_balancers.Add(m.newcomer, Now());
-    SendReports({m.newcomer});
+    SendFirstReport(m.newcomer);
   }
   Handle(BalancersFound{m.balancers});
 }
@@ -300,6 +303,10 @@
 void AgentTask::OnDecisionTick() {
   m_gate.OnTick(Now(), m_actions);
   ApplyActions();
+  if (auto due = m_first_reports.TakeDue(Now()); !due.empty()) {
+    m_metrics.Add("first_reports_repeated", due.size());
+    SendReports(due);
+  }
   LogUpstreamState(nullptr);
   StopIfDoneLeaving();
 }
@@ -336,10 +343,21 @@
   ArmDiscoveryTimer();
 }
 
+void AgentTask::SendFirstReport(base::Address balancer) {
+  if (m_first_reports.Begin(balancer, Now())) {
+    SendReports({balancer});
+  }
+}
+
 void AgentTask::SendReports(const std::vector<base::Address>& balancers) {
   decision::flows::UpstreamReport report = m_gate.Report(Now());
   report.interval = ReportInterval();
   for (base::Address balancer : balancers) {
+    bool wanted = m_first_reports.IsPending(balancer) ||
+                  !m_balancers.IsLive(balancer, Now());
+    report.confirmation = wanted
+                              ? decision::flows::ReportConfirmation::kWanted
+                              : decision::flows::ReportConfirmation::kReceived;
     SendToPeer(report, balancer);
   }
 }
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "filberthollow/decision/flows/upstream_gate.h"
+#include "filberthollow/decision/membership/first_reports.h"
 #include "filberthollow/passthrough/packets_task.h"
 
 namespace filberthollow::passthrough {
@@ -116,6 +117,8 @@
   base::Millis ReportInterval() const {
     return PacedInterval(m_balancers.size(), kReportBytes, kReportInterval);
   }
+  // Sends the first report to a balancer that has just started.
+  void SendFirstReport(base::Address balancer);
   // Sends a report on the upstream to each of `balancers`.
   void SendReports(const std::vector<base::Address>& balancers);
   void ReportToLiveBalancers() { SendReports(m_balancers.Live(Now())); }
@@ -124,6 +127,7 @@
   std::shared_ptr<net::UdpSocket> m_outbound;
   decision::flows::UpstreamGate m_gate;
   decision::flows::GateActions m_actions;
+  decision::membership::FirstReports m_first_reports;
   base::Millis m_discovery_interval = kFirstDiscoveryInterval;
   // The state that LogUpstreamState() has last seen.
   decision::flows::UpstreamState m_logged_state{};
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -130,7 +130,10 @@
   NotifyIfNewerRevision(m.revision, m_router.revision(), from);
   auto [hello_at, added] = m_agent_hello_at.try_emplace(from, Now());
   bool behind = m.revision < m_router.revision();
-  if (added || behind || Now() - hello_at->second >= kHelloInterval) {
+  bool wants_confirmation =
+      m.confirmation == decision::flows::ReportConfirmation::kWanted;
+  if (added || behind || wants_confirmation ||
+      Now() - hello_at->second >= kHelloInterval) {
     hello_at->second = Now();
     SendHello(from);
   }
@@ -264,7 +267,7 @@
   m_balancers.SetHelloInterval(interval);
   loop().After(interval, [this] { OnHelloTimer(); });
   m_balancers.Forget(Now());
-  m_balancers.AdvanceAdvertised(Now());
+  m_balancers.AdvanceAdvertised();
   PostFleetSize();
   std::erase_if(m_agent_hello_at, [this](const auto& entry) {
     return Now() - entry.second > decision::flows::FlowRouter::kAgentExpiry;
@@ -292,11 +295,13 @@
 
 void BalancerTask::SendHello(base::Address to, base::Address newcomer) {
   SendToPeer(
-      decision::flows::BalancerHello{.revision = m_router.revision(),
-                                     .run = m_run,
-                                     .leaving = leaving(),
-                                     .balancers = m_balancers.Advertised(Now()),
-                                     .newcomer = newcomer},
+      decision::flows::BalancerHello{
+          .revision = m_router.revision(),
+          .run = m_run,
+          .leaving = leaving(),
+          .balancers = m_balancers.Advertised(to, Now()),
+          .newcomer = newcomer,
+          .confirms_report = m_router.HasReportOf(to)},
       to);
 }
 
--- a/filberthollow/wire/packet_codec.cc
+++ b/filberthollow/wire/packet_codec.cc
@@ -156,11 +156,15 @@
   out.setIntervalMs(static_cast<uint16_t>(
       std::clamp<int64_t>(m.interval.count(), 0, UINT16_MAX)));
   out.setLeaving(m.leaving);
+  out.setConfirmation(static_cast<uint8_t>(m.confirmation));
 }
 
 bool Read(generated::UpstreamReport::Reader in, PacketMessage& out) {
   if (in.getState() >
-      static_cast<uint8_t>(decision::flows::UpstreamState::kGone)) {
+          static_cast<uint8_t>(decision::flows::UpstreamState::kGone) ||
+      in.getConfirmation() >
+          static_cast<uint8_t>(
+              decision::flows::ReportConfirmation::kReceived)) {
     return false;
   }
   out = UpstreamReport{
@@ -172,7 +176,9 @@
       .load = Read(in.getLoad()),
       .revision = in.getRevision(),
       .interval = base::Millis(in.getIntervalMs()),
-      .leaving = in.getLeaving()};
+      .leaving = in.getLeaving(),
+      .confirmation = static_cast<decision::flows::ReportConfirmation>(
+          in.getConfirmation())};
   return true;
 }
 
@@ -183,6 +189,7 @@
   out.setRun(m.run);
   out.setNewcomerIp(m.newcomer.ip);
   out.setNewcomerPort(m.newcomer.port);
+  out.setConfirmsReport(m.confirms_report);
   auto count =
       static_cast<uint32_t>(std::min(m.balancers.size(), kMaxHelloBalancers));
   auto ips = out.initBalancerIps(count);
@@ -202,7 +209,8 @@
   BalancerHello hello{.revision = in.getRevision(),
                       .run = in.getRun(),
                       .leaving = in.getLeaving(),
-                      .newcomer = {in.getNewcomerIp(), in.getNewcomerPort()}};
+                      .newcomer = {in.getNewcomerIp(), in.getNewcomerPort()},
+                      .confirms_report = in.getConfirmsReport()};
   for (uint32_t i = 0; i < ips.size(); ++i) {
     hello.balancers.push_back({ips[i], ports[i]});
   }
--- a/filberthollow/wire/packet_codec_test.cc
+++ b/filberthollow/wire/packet_codec_test.cc
@@ -35,12 +35,14 @@
           .load = kLoad,
           .revision = 11,
           .interval = base::Millis(200),
-          .leaving = true},
+          .leaving = true,
+          .confirmation = decision::flows::ReportConfirmation::kReceived},
       decision::flows::BalancerHello{.revision = 11,
                                      .run = 12,
                                      .leaving = true,
                                      .balancers = {{1, 2}, {3, 4}},
-                                     .newcomer = {5, 6}},
+                                     .newcomer = {5, 6},
+                                     .confirms_report = true},
       decision::flows::KnownAgents{
           {{{1, 2}, base::ServiceId{7}, true, base::Millis(300)},
            {{3, 4}, base::ServiceId{8}, false, base::Millis(0)}}}};
--- a/filberthollow/wire/packets.capnp
+++ b/filberthollow/wire/packets.capnp
@@ -70,6 +70,7 @@
   intervalMs @6 :UInt16;
   load @7 :UpstreamLoad;
   leaving @8 :Bool;
+  confirmation @9 :UInt8;
 }
 
 struct BalancerHello {
@@ -80,6 +81,7 @@
   run @4 :UInt64;
   newcomerIp @5 :UInt32;
   newcomerPort @6 :UInt16;
+  confirmsReport @7 :Bool;
 }
 
 struct KnownAgent {
