Place flows in the own data centre first, and search where they probably are

Change: LocalFirstChoice compares two upstreams of the own data centre and one of the others. They are the ones with the lowest rank (rendezvous hashing by flow and agent), not drawn by index, so every balancer knows where a flow probably is. Up to 8 agents of a service are asked at once. "Lost" still needs all agents.

--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -4,7 +4,8 @@
 // The network may deliver any packet to any balancer, so the router's table of
 // flows is only a cache. For a flow that is not in it, the router starts a
 // search: it buffers the caller's packets and asks the agents which of their
-// upstreams holds the flow. It asks the agents of the route's services first,
+// upstreams holds the flow. It asks the agents on which the flow was probably
+// placed first (load::UpstreamRank), then the others of the route's services,
 // then all others, since the route may have had other services before. An agent
 // that started after its upstream may be unsure; it gets the packets as
 // probes, which show whether its upstream holds the flow. The router resets a
@@ -23,6 +24,7 @@
 #define FILBERTHOLLOW_DECISION_FLOWS_FLOW_ROUTER_H_
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -149,6 +151,20 @@
   // kSearchTimeout is the time after the last question after which a search
   // ends without all answers. It is below 200 ms, when the caller retransmits.
   static constexpr base::Millis kSearchTimeout{150};
+  // Which agents of the flow's service a search asks first: at most this many
+  // in the data centre of the balancer and in the others, by their rank for the
+  // flow. Agents that have not answered a round within kLocateRetryDelay don't
+  // delay the next one. So a moved flow costs a few messages at any size of the
+  // fleet, and a wrong guess two short delays.
+  struct SearchRound {
+    size_t local_agents;
+    size_t remote_agents;
+  };
+  static constexpr std::array<SearchRound, 2> kLikelyRounds{
+      {{.local_agents = 2, .remote_agents = 1},
+       {.local_agents = 6, .remote_agents = 4}}};
+  // All agents of a service with at most this many are asked at once.
+  static constexpr size_t kMaxAgentsAskedAtOnce = 8;
   // kMaxPacketsPerSearch limits the packets buffered for one search; each end
   // of a flow has at most 16 in flight.
   static constexpr size_t kMaxPacketsPerSearch = 16;
@@ -301,6 +317,8 @@
     base::Millis started_at;
     // When the last question or probe was or will be sent, at the latest.
     base::Millis asked_at;
+    size_t likely_rounds = 0;  // of kLikelyRounds, those that were asked
+    bool route_asked = false;  // all agents of the route's services were asked
     // Value of m_agents_added when all known agents were asked; empty before.
     std::optional<uint64_t> agents_added_when_all_asked;
     std::map<base::Address, AgentAnswer> asked;
@@ -346,8 +364,20 @@
                    const flow::PacketHeader& header,
                    base::Millis now,
                    RouterActions& actions);
-  // Asks the agents of the route's services, or all agents if there is no route
-  // or it has no known agents.
+  // Asks the next agents: those of the next likely round, or all of the route's
+  // services, or all that remain. Returns false if there are none.
+  bool AskNextAgents(const flow::FlowEnds& ends,
+                     Search& search,
+                     base::Millis now);
+  // Asks the agents of the next of kLikelyRounds.
+  void AskLikelyAgents(const flow::FlowEnds& ends,
+                       Search& search,
+                       base::Millis now);
+  // Returns the agents to ask in a round, out of those of the service.
+  std::vector<base::Address> LikelyAgents(const flow::FlowEnds& ends,
+                                          base::ServiceId service,
+                                          const SearchRound& round) const;
+  // Asks the agents of the route's services; none if there is no route.
   void AskRouteAgents(const flow::FlowEnds& ends,
                       Search& search,
                       base::Millis now);
@@ -391,10 +421,12 @@
   void AdvanceSearch(ByFlow<Search>::iterator search,
                      base::Millis now,
                      RouterActions& actions);
+  // Returns whether an asked agent that has an upstream has not answered.
+  bool AwaitsAnswer(const Search& search) const;
   // Returns whether every asked agent has answered, has no upstream, or counts
   // as having lost its flows.
   bool HasAllExpectedAnswers(const Search& search, base::Millis now) const;
-  // Asks the remaining agents, or else forwards probes. Returns whether the
+  // Asks the next agents, or else forwards probes. Returns whether the
   // search is over: it is not while a question or probe was just sent, an
   // upstream may still answer a probe, or an agent not yet discovered may hold
   // the flow.
--- a/filberthollow/decision/flows/flow_router_searches.cc
+++ b/filberthollow/decision/flows/flow_router_searches.cc
@@ -57,7 +57,7 @@
     Search search{.acknowledged = header.acknowledged,
                   .started_at = now,
                   .asked_at = now};
-    AskRouteAgents(ends, search, now);
+    AskNextAgents(ends, search, now);
     found = m_searches.emplace(ends, std::move(search)).first;
   }
   Search& search = found->second;
@@ -71,19 +71,83 @@
   AdvanceSearch(found, now, actions);
 }
 
+bool FlowRouter::AskNextAgents(const FlowEnds& ends,
+                               Search& search,
+                               base::Millis now) {
+  size_t before = search.asked.size();
+  while (search.asked.size() == before &&
+         search.likely_rounds < kLikelyRounds.size()) {
+    AskLikelyAgents(ends, search, now);
+  }
+  if (search.asked.size() == before && !search.route_asked) {
+    AskRouteAgents(ends, search, now);
+  }
+  return search.asked.size() > before || AskRemainingAgents(ends, search, now);
+}
+
+void FlowRouter::AskLikelyAgents(const FlowEnds& ends,
+                                 Search& search,
+                                 base::Millis now) {
+  const SearchRound& round = kLikelyRounds.at(search.likely_rounds++);
+  const CompiledRoute* route = m_routes->Find(ends.route);
+  if (route == nullptr) {
+    return;
+  }
+  std::vector<base::Address> likely =
+      LikelyAgents(ends, route->ServiceFor(ends), round);
+  AskAgents(
+      ends, search,
+      [&likely](base::Address address, const Agent& /*agent*/) {
+        return std::find(likely.begin(), likely.end(), address) != likely.end();
+      },
+      now);
+}
+
+std::vector<base::Address> FlowRouter::LikelyAgents(
+    const FlowEnds& ends,
+    base::ServiceId service,
+    const SearchRound& round) const {
+  using Ranked = std::pair<uint64_t, base::Address>;
+  std::vector<Ranked> local;
+  std::vector<Ranked> remote;
+  uint64_t key = flow::FlowEndsHash{}(ends);
+  for (const auto& [address, agent] : m_agents) {
+    if (agent.report.service == service && !HasNoUpstream(address)) {
+      bool is_local = agent.report.data_centre == m_data_centre;
+      (is_local ? local : remote)
+          .emplace_back(load::UpstreamRank(key, address), address);
+    }
+  }
+  bool few = local.size() + remote.size() <= kMaxAgentsAskedAtOnce;
+  std::vector<base::Address> likely;
+  auto take = [&likely, few](std::vector<Ranked>& ranked, size_t count) {
+    count = few ? ranked.size() : std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(),
+                      ranked.begin() + static_cast<ptrdiff_t>(count),
+                      ranked.end());
+    for (size_t i = 0; i < count; ++i) {
+      likely.push_back(ranked[i].second);
+    }
+  };
+  take(local, round.local_agents);
+  take(remote, round.remote_agents);
+  return likely;
+}
+
 void FlowRouter::AskRouteAgents(const FlowEnds& ends,
                                 Search& search,
                                 base::Millis now) {
+  search.route_asked = true;
   const CompiledRoute* route = m_routes->Find(ends.route);
+  if (route == nullptr) {
+    return;
+  }
   AskAgents(
       ends, search,
-      [route](const Agent& agent) {
-        return route == nullptr || route->Allows(agent.report.service);
+      [route](base::Address /*address*/, const Agent& agent) {
+        return route->Allows(agent.report.service);
       },
       now);
-  if (search.asked.empty()) {
-    AskRemainingAgents(ends, search, now);
-  }
 }
 
 template <class Wanted>
@@ -91,10 +155,10 @@
                            Search& search,
                            Wanted wanted,
                            base::Millis now) {
-  search.asked_at = m_questions.LatestSendTime(now);
-  search.repeated = false;
   for (const auto& [address, agent] : m_agents) {
-    if (wanted(agent) && search.asked.try_emplace(address).second) {
+    if (wanted(address, agent) && search.asked.try_emplace(address).second) {
+      search.asked_at = m_questions.LatestSendTime(now);
+      search.repeated = false;
       m_questions.Add(address, {ends, search.acknowledged});
     }
   }
@@ -109,7 +173,9 @@
   search.agents_added_when_all_asked = m_agents_added;
   size_t before = search.asked.size();
   AskAgents(
-      ends, search, [](const Agent& /*agent*/) { return true; }, now);
+      ends, search,
+      [](base::Address /*address*/, const Agent& /*agent*/) { return true; },
+      now);
   return search.asked.size() > before;
 }
 
@@ -212,6 +278,13 @@
   }
 }
 
+bool FlowRouter::AwaitsAnswer(const Search& search) const {
+  return std::any_of(
+      search.asked.begin(), search.asked.end(), [this](const auto& entry) {
+        return !entry.second.holding && !HasNoUpstream(entry.first);
+      });
+}
+
 bool FlowRouter::HasAllExpectedAnswers(const Search& search,
                                        base::Millis now) const {
   return std::all_of(
@@ -225,8 +298,12 @@
                                     Search& search,
                                     base::Millis now,
                                     RouterActions& actions) {
-  if (AskRemainingAgents(ends, search, now) ||
-      ForwardProbes(search, now, actions)) {
+  while (AskNextAgents(ends, search, now)) {
+    if (AwaitsAnswer(search)) {
+      return false;
+    }
+  }
+  if (ForwardProbes(search, now, actions)) {
     return false;
   }
   if (search.CountUnsure() > 0) {
@@ -278,7 +355,7 @@
   for (auto found = m_searches.begin(); found != m_searches.end();) {
     const FlowEnds& ends = found->first;
     Search& search = found->second;
-    if (!KnowsAllAgents(now)) {
+    if (!KnowsAllAgents(now) && search.agents_added_when_all_asked) {
       AskRemainingAgents(ends, search, now);  // agents discovered since
     }
     base::Millis age = now - search.asked_at;
@@ -290,6 +367,9 @@
     }
     if (age >= kLocateRetryDelay && !search.repeated) {
       RepeatQuestions(ends, search);
+      if (!search.route_asked) {
+        AskNextAgents(ends, search, now);
+      }
     }
     ++found;
   }
--- a/filberthollow/decision/load/upstream_choice.cc
+++ b/filberthollow/decision/load/upstream_choice.cc
@@ -10,9 +10,6 @@
 namespace {
 
 constexpr double kHundredths = 100.0;
-// More samples balance the load better, fewer spread a burst better.
-constexpr size_t kSampledUpstreams = 2;
-
 // Returns the mean number of requests in progress per open flow, over all
 // candidates.
 double InFlightPerFlow(std::span<const UpstreamCandidate> candidates) {
@@ -39,8 +36,43 @@
              : work_per_slot + LeastWorkChoice::kRemotePenalty;
 }
 
+// Appends the `count` indexes whose candidates have the lowest ranks to
+// `drawn`.
+void DrawLowestRanks(std::vector<size_t> indexes,
+                     size_t count,
+                     std::span<const UpstreamCandidate> candidates,
+                     uint64_t key,
+                     std::vector<size_t>& drawn) {
+  auto end =
+      indexes.begin() + static_cast<ptrdiff_t>(std::min(count, indexes.size()));
+  std::partial_sort(indexes.begin(), end, indexes.end(),
+                    [&](size_t left, size_t right) {
+                      return UpstreamRank(key, candidates[left].agent) <
+                             UpstreamRank(key, candidates[right].agent);
+                    });
+  drawn.insert(drawn.end(), indexes.begin(), end);
+}
+
+// Lets `choice` choose among the candidates with the given indexes.
+std::optional<size_t> ChooseAmong(const UpstreamChoice& choice,
+                                  std::span<const UpstreamCandidate> candidates,
+                                  const std::vector<size_t>& indexes,
+                                  const ChoiceContext& context) {
+  std::vector<UpstreamCandidate> sample;
+  sample.reserve(indexes.size());
+  for (size_t index : indexes) {
+    sample.push_back(candidates[index]);
+  }
+  std::optional<size_t> best = choice.Choose(sample, context);
+  return best ? std::optional(indexes[*best]) : std::nullopt;
+}
+
 }  // namespace
 
+uint64_t UpstreamRank(uint64_t key, base::Address agent) {
+  return base::HashWords({key, agent.ip, agent.port});
+}
+
 std::optional<size_t> LeastWorkChoice::Choose(
     std::span<const UpstreamCandidate> candidates,
     const ChoiceContext& context) const {
@@ -50,8 +82,7 @@
   for (size_t i = 0; i < candidates.size(); ++i) {
     std::pair<double, uint64_t> rank{
         ScoreOf(candidates[i], in_flight_per_flow, context.data_centre),
-        base::HashWords(
-            {context.key, candidates[i].agent.ip, candidates[i].agent.port})};
+        UpstreamRank(context.key, candidates[i].agent)};
     if (!best || rank < best_rank) {
       best = i;
       best_rank = rank;
@@ -66,22 +97,38 @@
   if (candidates.size() <= m_samples) {
     return m_inner.Choose(candidates, context);
   }
-  std::vector<size_t> indexes;
-  std::vector<UpstreamCandidate> sample;
-  for (uint64_t draw = 0; sample.size() < m_samples; ++draw) {
+  std::vector<size_t> drawn;
+  for (uint64_t draw = 0; drawn.size() < m_samples; ++draw) {
     size_t index = base::HashWords({context.key, draw}) % candidates.size();
-    if (std::find(indexes.begin(), indexes.end(), index) == indexes.end()) {
-      indexes.push_back(index);
-      sample.push_back(candidates[index]);
+    if (std::find(drawn.begin(), drawn.end(), index) == drawn.end()) {
+      drawn.push_back(index);
     }
   }
-  return indexes[*m_inner.Choose(sample, context)];
+  return ChooseAmong(m_inner, candidates, drawn, context);
+}
+
+std::optional<size_t> LocalFirstChoice::Choose(
+    std::span<const UpstreamCandidate> candidates,
+    const ChoiceContext& context) const {
+  std::vector<size_t> local;
+  std::vector<size_t> remote;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    bool is_local = candidates[i].data_centre == context.data_centre;
+    (is_local ? local : remote).push_back(i);
+  }
+  std::vector<size_t> drawn;
+  size_t remote_samples = local.empty() ? kLocalSamples : kRemoteSamples;
+  DrawLowestRanks(std::move(local), kLocalSamples, candidates, context.key,
+                  drawn);
+  DrawLowestRanks(std::move(remote), remote_samples, candidates, context.key,
+                  drawn);
+  return ChooseAmong(m_inner, candidates, drawn, context);
 }
 
 const UpstreamChoice& DefaultUpstreamChoice() {
   static const LeastWorkChoice least_work;
-  static const SampledChoice sampled(least_work, kSampledUpstreams);
-  return sampled;
+  static const LocalFirstChoice local_first(least_work);
+  return local_first;
 }
 
 }  // namespace filberthollow::decision::load
--- a/filberthollow/decision/load/upstream_choice.h
+++ b/filberthollow/decision/load/upstream_choice.h
@@ -1,9 +1,10 @@
 // Chooses the upstream that is offered a new pass-through flow.
 //
-// The strategy of the product is LeastWorkChoice. It answers these load
-// patterns: many flows that arrive between two load reports (they must not all
-// go to the upstream that was idle in the last one), upstreams that are slow
-// after their start, and flows that are open but idle.
+// The strategy of the product is LocalFirstChoice, which compares a few sampled
+// upstreams by LeastWorkChoice. They answer these load patterns: many flows
+// that arrive between two load reports (they must not all go to the upstream
+// that was idle in the last one), upstreams that are slow after their start,
+// flows that are open but idle, and upstreams in several data centres.
 //
 //   std::optional<size_t> best =
 //       LeastWorkChoice().Choose(candidates, {own_data_centre, key});
@@ -40,6 +41,13 @@
   friend bool operator==(const ChoiceContext&, const ChoiceContext&) = default;
 };
 
+// Returns the rank of an upstream for the flow with this key. The upstreams
+// with the lowest ranks are considered first for the flow. Since the rank
+// depends on nothing else (rendezvous hashing, Thaler and Ravishankar, 1998),
+// every balancer knows where a flow probably is, and a change of one upstream
+// moves no other one.
+uint64_t UpstreamRank(uint64_t key, base::Address agent);
+
 // UpstreamChoice is a strategy object without state that changes.
 class UpstreamChoice {
  public:
@@ -89,6 +97,33 @@
   const size_t m_samples;
 };
 
+// LocalFirstChoice lets another strategy choose among a few candidates, those
+// with the lowest ranks, most of them in the balancer's own data centre. With
+// more data centres,
+// fewer of the draws among all upstreams are local, whatever the penalty of the
+// remote ones: with five, both of two draws are remote for 64% of the flows.
+// One draw from the other data centres lets flows leave the own one as soon as
+// its upstreams are busier by LeastWorkChoice::kRemotePenalty. This answers the
+// load patterns of callers or upstreams that are spread unevenly over data
+// centres, and of a data centre whose upstreams are cold.
+class LocalFirstChoice final : public UpstreamChoice {
+ public:
+  // Candidates drawn in the own data centre; drawn in the others if there are
+  // none in the own one.
+  static constexpr size_t kLocalSamples = 2;
+  // Candidates drawn in the other data centres.
+  static constexpr size_t kRemoteSamples = 1;
+
+  // `inner` must outlive this object.
+  explicit LocalFirstChoice(const UpstreamChoice& inner) : m_inner(inner) {}
+
+  std::optional<size_t> Choose(std::span<const UpstreamCandidate> candidates,
+                               const ChoiceContext& context) const override;
+
+ private:
+  const UpstreamChoice& m_inner;
+};
+
 // Returns the strategy that balancers use.
 const UpstreamChoice& DefaultUpstreamChoice();
 
--- a/filberthollow/decision/load/upstream_choice_test.cc
+++ b/filberthollow/decision/load/upstream_choice_test.cc
@@ -1,5 +1,6 @@
 #include "filberthollow/decision/load/upstream_choice.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <vector>
 
@@ -102,5 +103,83 @@
   BOOST_TEST(!sampled.Choose({}, {kLocalDataCentre, 0}).has_value());
 }
 
+// Upstreams in several data centres, and callers in the local one.
+struct SeveralDataCentres {
+  static constexpr uint32_t kFlows = 4000;
+  std::vector<UpstreamCandidate> candidates;
+
+  // Adds `count` upstreams with two slots, of which one in `busy_divisor` has
+  // a request in each slot; none if it is zero.
+  void AddUpstreams(uint64_t data_centre,
+                    uint32_t count,
+                    uint32_t busy_divisor) {
+    for (uint32_t i = 0; i < count; ++i) {
+      bool busy = busy_divisor > 0 && i % busy_divisor == 0;
+      uint16_t in_flight = busy ? 2 : 0;
+      candidates.push_back(
+          Candidate(static_cast<uint32_t>(candidates.size()) + 1, data_centre,
+                    {.slots = 2, .in_flight = in_flight, .open_flows = 20}));
+    }
+  }
+  // Returns the share of the flows that go to another data centre.
+  double RemoteShare() const {
+    uint32_t remote = 0;
+    for (uint64_t key = 0; key < kFlows; ++key) {
+      size_t chosen =
+          *DefaultUpstreamChoice().Choose(candidates, {kLocalDataCentre, key});
+      remote += candidates[chosen].data_centre == kLocalDataCentre ? 0 : 1;
+    }
+    return static_cast<double>(remote) / kFlows;
+  }
+};
+
+// The target is a third of what two draws among all upstreams bring with five
+// data centres: 64% of the flows.
+BOOST_FIXTURE_TEST_CASE(FlowsStayInTheOwnDataCentreAtAnyNumberOfThem,
+                        SeveralDataCentres) {
+  constexpr double kMaxRemoteShare = 0.64 / 3;
+  for (uint64_t data_centre = 1; data_centre <= 5; ++data_centre) {
+    AddUpstreams(data_centre, 22, 5);
+  }
+  BOOST_TEST(RemoteShare() < kMaxRemoteShare);
+}
+
+BOOST_FIXTURE_TEST_CASE(FlowsLeaveABusyDataCentre, SeveralDataCentres) {
+  AddUpstreams(kLocalDataCentre, 22, 1);
+  AddUpstreams(kRemoteDataCentre, 88, 5);
+  BOOST_TEST(RemoteShare() > 0.75);
+}
+
+BOOST_FIXTURE_TEST_CASE(FlowsLeaveADataCentreWithOneBusyUpstream,
+                        SeveralDataCentres) {
+  AddUpstreams(kLocalDataCentre, 1, 1);
+  AddUpstreams(kRemoteDataCentre, 20, 0);
+  BOOST_TEST(RemoteShare() == 1.0);
+}
+
+BOOST_FIXTURE_TEST_CASE(FlowsOfADataCentreWithoutUpstreamsAreSpread,
+                        SeveralDataCentres) {
+  AddUpstreams(kRemoteDataCentre, 20, 0);
+  candidates[0].load.in_flight = 2;
+  std::vector<uint32_t> chosen(candidates.size(), 0);
+  for (uint64_t key = 0; key < kFlows; ++key) {
+    ++chosen[*DefaultUpstreamChoice().Choose(candidates,
+                                             {kLocalDataCentre, key})];
+  }
+  BOOST_TEST(chosen[0] == 0U);  // busier than any other draw
+  BOOST_TEST(*std::max_element(chosen.begin(), chosen.end()) < kFlows / 10);
+}
+
+BOOST_FIXTURE_TEST_CASE(FlowsLeaveAColdDataCentre, SeveralDataCentres) {
+  AddUpstreams(kLocalDataCentre, 20, 1);
+  AddUpstreams(kRemoteDataCentre, 20, 1);
+  double share_of_warm = RemoteShare();
+  for (UpstreamCandidate& candidate : candidates) {
+    bool local = candidate.data_centre == kLocalDataCentre;
+    candidate.load.cold_ms = local ? 900 : 0;
+  }
+  BOOST_TEST(RemoteShare() > share_of_warm + 0.5);
+}
+
 }  // namespace
 }  // namespace filberthollow::decision::load
