--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -151,11 +151,11 @@
   // kSearchTimeout is the time after the last question after which a search
   // ends without all answers. It is below 200 ms, when the caller retransmits.
   static constexpr base::Millis kSearchTimeout{150};
-  // Which agents of the flow's service a search asks first: at most this many
-  // in the data centre of the balancer and in the others, by their rank for the
-  // flow. Agents that have not answered a round within kLocateRetryDelay don't
-  // delay the next one. So a moved flow costs a few messages at any size of the
-  // fleet, and a wrong guess two short delays.
+  // SearchRound says which agents of the flow's service are asked at one time:
+  // at most this many in the balancer's data centre and in the others, by their
+  // rank for the flow. The next round starts once all have answered, or after
+  // kLocateRetryDelay. Thus finding a moved flow takes a few messages at any
+  // size of the fleet, and at most two short delays if it is not there.
   struct SearchRound {
     size_t local_agents;
     size_t remote_agents;
--- a/filberthollow/decision/load/upstream_choice.h
+++ b/filberthollow/decision/load/upstream_choice.h
@@ -98,14 +98,13 @@
 };
 
 // LocalFirstChoice lets another strategy choose among a few candidates, those
-// with the lowest ranks, most of them in the balancer's own data centre. With
-// more data centres,
-// fewer of the draws among all upstreams are local, whatever the penalty of the
-// remote ones: with five, both of two draws are remote for 64% of the flows.
-// One draw from the other data centres lets flows leave the own one as soon as
-// its upstreams are busier by LeastWorkChoice::kRemotePenalty. This answers the
-// load patterns of callers or upstreams that are spread unevenly over data
-// centres, and of a data centre whose upstreams are cold.
+// with the lowest ranks, most of them in the balancer's own data centre. Of
+// draws among all upstreams, fewer are local the more data centres there are:
+// with five, both of two draws are remote for 64% of the flows. One draw from
+// the other data centres lets flows leave the own one as soon as its upstreams
+// are busier by LeastWorkChoice::kRemotePenalty. This answers the load patterns
+// of callers or upstreams that are spread unevenly over data centres, and of a
+// data centre whose upstreams are cold.
 class LocalFirstChoice final : public UpstreamChoice {
  public:
   // Candidates drawn in the own data centre; drawn in the others if there are
