--- a/filberthollow/lab/lab_test.cc
+++ b/filberthollow/lab/lab_test.cc
@@ -105,6 +105,18 @@
   BOOST_TEST(Gain("cold-fleet", "least_work").verdict == "better");
 }
 
+// Answers the patterns of five data centres: compared with draws among all
+// upstreams, draws in the own data centre must not cost callers anything in a
+// burst or where a data centre has no upstreams, and serve them better while
+// one is lost.
+BOOST_AUTO_TEST_CASE(LocalFirstChoiceServesSeveralDataCentresAsWell) {
+  BOOST_TEST(Gain("five-data-centres-one-lost", "sampled_2").verdict ==
+             "better");
+  BOOST_TEST(Gain("five-data-centres-burst", "sampled_2").verdict != "worse");
+  BOOST_TEST(Gain("data-centres-without-upstreams", "sampled_2").verdict !=
+             "worse");
+}
+
 // Answers the pattern slow-upstream: a choice that ignores load keeps sending
 // flows to it.
 BOOST_AUTO_TEST_CASE(ChoiceByLoadAvoidsASlowUpstream) {
