The tests' caller sends copies of its opening packet, as callers do

The balancer had learnt from a peer that there is a newer configuration, which may have the route, before its own watch delivered it; it then drops the packet instead of resetting the flow, and relies on the next copy. Callers send copies after 200 and 600 ms, the fake caller sent none.

The fake now sends them, with the copy number in ack. The bound of three seconds and what is checked stay.

--- a/filberthollow/platform/platform_fleet.py
+++ b/filberthollow/platform/platform_fleet.py
@@ -155,6 +155,11 @@
 
 
 # Opens flows and sends packets to balancers, from a host of its own.
+# Time in seconds from each opening packet to its next copy, or until the caller
+# gives up.
+OPENING_COPY_DELAYS = (0.2, 0.4, 0.8)
+
+
 class Caller:
     def __init__(self, host):
         self.host = host
@@ -184,11 +189,20 @@
     def open(self, balancer, route=ROUTE, seconds=3):
         """Opens a flow from a new port; returns the port and the answer.
 
-        The answer is None if none arrives in time.
+        Sends copies of the opening packet like the callers of the platform: a
+        balancer drops it, and relies on the next copy, if a peer has a newer
+        configuration, which may have the route. The answer is None if none
+        arrives in time.
         """
         self.next_port += 1
-        self.send(balancer, self.next_port, OPEN, route=route)
-        return self.next_port, self.receive(self.next_port, seconds)
+        port, end = self.next_port, time.monotonic() + seconds
+        for copy, delay in enumerate(OPENING_COPY_DELAYS):
+            self.send(balancer, port, OPEN, route=route, ack=copy)
+            left = end - time.monotonic()
+            answer = self.receive(port, min(delay, left))
+            if answer is not None or delay >= left:
+                return port, answer
+        return port, self.receive(port, end - time.monotonic())
 
     def send_request(self, balancer, port, accepted, data, route=ROUTE):
         # Sends data on a flow and returns the answer, or None. `accepted` is
