--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -500,7 +500,7 @@
             f"{slope_of('locate_bytes'):.0f} B for each more; "
             f"{LOCATES_PER_SECOND} messages/s",
             f"{TARGETS / LOCATES_PER_SECOND:.1f} s, up to 64 flows at one time; "
-            "the route's own services are asked first", "none given", True),
+            "the three agents where it probably is are asked first", "none given", True),
         row("balancer, passed through", "time until a silent agent is noted",
             "three reports missed; an unanswered offer shows it in 0.11 s",
             "3 intervals", f"{silence_s:.0f} s", "11 s", silence_s <= 11),
