Stricter tests of the choice and of ranked searches

Two mutants passed or failed for the wrong reason: with draws among all remote upstreams the tests of the choice passed; without likely rounds MovedFlowIsFoundWithFewMessages passed, since the budget for questions was spent and the flows were not found at all. The first gets a test of its own, the second requires that each flow is found.

--- a/filberthollow/decision/flows/likely_agents_test.cc
+++ b/filberthollow/decision/flows/likely_agents_test.cc
@@ -1,5 +1,6 @@
 // Tests of searches in a large fleet: the agents on which a flow was probably
 // placed are asked first.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <set>
 #include <vector>
@@ -106,8 +107,11 @@
     Address holder = first.Place(FromPort(Opening(), port));
     flow::PacketHeader data = FromPort(Data(101, 500), port);
     std::vector<Address> asked = second.Receive(data);
+    bool found = false;
     while (!asked.empty()) {
       messages += 2 * asked.size();
+      found =
+          found || std::find(asked.begin(), asked.end(), holder) != asked.end();
       std::vector<Address> next;
       for (Address agent : asked) {
         auto more =
@@ -117,8 +121,9 @@
       }
       asked = next;
     }
-    // The searches don't exhaust the budget for questions.
-    second.Advance(Millis(20));
+    BOOST_TEST(found);
+    // Until the budget for questions is full again.
+    second.Advance(Millis(120));
   }
   BOOST_TEST(messages <= kMaxMessagesPerFlow * kFlows);
 }
--- a/filberthollow/decision/load/upstream_choice_test.cc
+++ b/filberthollow/decision/load/upstream_choice_test.cc
@@ -133,6 +133,21 @@
   }
 };
 
+// Guards against balancers without local upstreams that all send their flows to
+// the one that was idle in the last report.
+BOOST_FIXTURE_TEST_CASE(IdleUpstreamDoesNotDrawAllFlowsOfOtherDataCentres,
+                        SeveralDataCentres) {
+  AddUpstreams(kRemoteDataCentre, 20, 1);
+  candidates[0].load.in_flight = 0;
+  uint32_t chosen = 0;
+  for (uint64_t key = 0; key < kFlows; ++key) {
+    bool idle = *DefaultUpstreamChoice().Choose(candidates,
+                                                {kLocalDataCentre, key}) == 0;
+    chosen += idle ? 1 : 0;
+  }
+  BOOST_TEST(chosen < kFlows / 5);
+}
+
 // The target is a third of what two draws among all upstreams bring with five
 // data centres: 64% of the flows.
 BOOST_FIXTURE_TEST_CASE(FlowsStayInTheOwnDataCentreAtAnyNumberOfThem,
