Count copies of an opening packet once in the fleet test of the platform

The test's last opening was answered after more than 200 ms, so the caller sent a copy, and that was refused and logged, too. The test needs exactly one more refusal and doesn't use the answer: it now sends one packet. The fake upstream counts opened flows, not opening packets. What is checked stays.

--- a/filberthollow/platform/platform_fleet.py
+++ b/filberthollow/platform/platform_fleet.py
@@ -137,8 +137,9 @@
         route_address, caller = (received.dst, received.dport), (
             received.src, received.sport)
         if received.flags & OPEN:
+            # Copies of an opening packet belong to the same flow.
+            self.opened += 0 if received.flow() in self.flows else 1
             self.flows.add(received.flow())
-            self.opened += 1
             self.send(packet(route_address, caller, OPEN | ACK,
                              self.first_seq, 1))
         elif received.flow() not in self.flows:
--- a/filberthollow/platform/platform_fleet_test.py
+++ b/filberthollow/platform/platform_fleet_test.py
@@ -235,7 +235,7 @@
                     balancer, no_route) - before == n, 10,
                     "each refusal is counted")
         time.sleep(1.1)  # The log budget of the next second.
-        caller.open(balancer, OTHER_ROUTE)
+        caller.send(balancer, 30000, OPEN, route=OTHER_ROUTE)
         lines = wait_until(lambda: [
             line for line in events_of(self.system.logs(), "flow_reset")
             if line["process"] == f"balancer-{balancer}"
