The tests' caller ignores answers to copies of an opening packet

An acceptance that took longer than 200 ms was followed by one of the copy, which send_request() would have taken for the answer of its request.

--- a/filberthollow/platform/platform_fleet.py
+++ b/filberthollow/platform/platform_fleet.py
@@ -166,6 +166,7 @@
         self.host = host
         self.socket = bind_udp_socket((host, PORTS["packets"]))
         self.next_port = 40000
+        self.answered_ports = set()  # of openings
 
     def send(self, balancer, port, flags, data=b"", route=ROUTE, ack=0):
         raw = packet((self.host, port), (route, ROUTE_PORT), flags, 100, ack,
@@ -175,7 +176,8 @@
     def receive(self, port, seconds=3):
         """Returns the next packet to a port, or None if there is none in time.
 
-        Packets to other ports are discarded.
+        Packets to other ports, and answers to copies of an opening packet that
+        was answered, are discarded.
         """
         end = time.monotonic() + seconds
         while time.monotonic() < end:
@@ -183,7 +185,8 @@
                 received = Packet(self.socket.recv(2048))
             except socket.timeout:
                 continue
-            if received.dport == port:
+            repeated = received.flags & OPEN and port in self.answered_ports
+            if received.dport == port and not repeated:
                 return received
         return None
 
@@ -202,8 +205,12 @@
             left = end - time.monotonic()
             answer = self.receive(port, min(delay, left))
             if answer is not None or delay >= left:
-                return port, answer
-        return port, self.receive(port, end - time.monotonic())
+                break
+        else:
+            answer = self.receive(port, end - time.monotonic())
+        if answer is not None:
+            self.answered_ports.add(port)
+        return port, answer
 
     def send_request(self, balancer, port, accepted, data, route=ROUTE):
         # Sends data on a flow and returns the answer, or None. `accepted` is
