--- a/filberthollow/platform/platform_fleet_test.py
+++ b/filberthollow/platform/platform_fleet_test.py
@@ -235,7 +235,9 @@
                     balancer, no_route) - before == n, 10,
                     "each refusal is counted")
         time.sleep(1.1)  # The log budget of the next second.
+        # One packet without copies, each of which would be refused, too.
         caller.send(balancer, 30000, OPEN, route=OTHER_ROUTE)
+        caller.receive(30000)
         lines = wait_until(lambda: [
             line for line in events_of(self.system.logs(), "flow_reset")
             if line["process"] == f"balancer-{balancer}"
