--- a/review/standins.py
+++ b/review/standins.py
@@ -244,6 +244,51 @@
             self.changed.wait(left)
 
 
+class Relay:
+    """A TCP relay before the store, whose connections can go silent.
+
+    A silent connection stays open without a reset and passes nothing in either
+    direction; connections that are made later work.
+    """
+
+    def __init__(self, address, to):
+        self.to = to
+        self.generation = 0
+        self.listener = socket.create_server(address, backlog=64)
+        self.sockets = []
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                near, _ = self.listener.accept()
+                far = socket.create_connection(self.to, 1.0)
+            except OSError:
+                return
+            far.settimeout(None)
+            self.sockets += [near, far]
+            for pair in ((near, far), (far, near)):
+                threading.Thread(target=self.copy, daemon=True,
+                                 args=pair + (self.generation,)).start()
+
+    def copy(self, source, sink, generation):
+        try:
+            while data := source.recv(65536):
+                if generation == self.generation:
+                    sink.sendall(data)
+            if generation == self.generation:
+                sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+    def silence(self):
+        self.generation += 1
+
+    def close(self):
+        for sock in [self.listener] + self.sockets:
+            sock.close()
+
+
 class Target:
     """A target on a `side` machine: flows, slots, health, heartbeats.
 
@@ -515,6 +560,7 @@
         return "deadline"
 
     def close(self):
+        """Ends the flow with a FIN."""
         if self.reset is None and self.ack is not None:
             self.send(FIN | ACK)
         self.client.flows.pop(self.port, None)
@@ -599,8 +645,11 @@
         self.ports = free_ports(f"{self.net}.10")
         self.processes, self.targets, self.runs = {}, [], {}
         self.closed = threading.Event()
+        # The processes reach the store through the relay.
         self.platform = (f"{self.net}.1", self.ports["control"])
-        self.store = Store(self.platform)
+        store = (f"{self.net}.2", self.ports["control"])
+        self.store = Store(store)
+        self.relay = Relay(self.platform, store)
         self.fronts = [f"{self.net}.{10 + i}" for i in range(fronts)]
         self.version = 7
         self.configure()
@@ -609,14 +658,17 @@
         self.router = Router(self)
         self.client = Client(self, f"{self.net}.200")
 
-    def configure(self):
-        """Writes config/main with a safe and an unsafe route to `desk`."""
-        routes = [{"name": f"r-{kind}", "host": host,
+    def configure(self, hosts=None):
+        """Writes config/main with routes to `desk`; returns when it was acknowledged.
+
+        `hosts` maps the address of each route to its kind.
+        """
+        hosts = hosts or {SAFE_ROUTE: "safe", UNSAFE_ROUTE: "unsafe"}
+        routes = [{"name": f"r-{ip_number(host):x}", "host": host,
                    "pathPrefix": f"/{ROUTE_PORT}/", "kind": kind,
                    "timeoutMs": 2000, "aimMs": 250, "priority": 1,
                    "service": "desk", "attempts": 2}
-                  for kind, host in (("safe", SAFE_ROUTE),
-                                     ("unsafe", UNSAFE_ROUTE))]
+                  for host, kind in hosts.items()]
         services = [{"name": name, "healthPath": "/health",
                      "connectionLimit": 2000, "protocol": "h1", "tls": False}
                     for name in ("desk", "archive")]
@@ -626,6 +678,9 @@
             "limits": {"headerBytes": 16384, "bodyBytes": 262144,
                        "headerTimeoutMs": 3000,
                        "idleTimeoutMs": IDLE_TIMEOUT_MS}})
+        self.record("config_acknowledged", version=self.version,
+                    routes=",".join(hosts))
+        return now()
 
     def settings(self, host, machine, service, bootstrap):
         ports = self.ports
@@ -674,6 +729,19 @@
         self.record("signal", host=host, signal=signal.Signals(number).name)
         self.processes[host].send_signal(number)
 
+    def restart(self, host, machine, service="", after_s=1.0, grace_s=6.0):
+        """Stops a process as the platform does, and starts it again."""
+        process = self.processes[host]
+        self.signal(host, signal.SIGTERM)
+        try:
+            process.wait(grace_s)
+        except subprocess.TimeoutExpired:
+            self.signal(host, signal.SIGKILL)
+            process.wait(10)
+        self.record("process_end", host=host, code=process.returncode)
+        time.sleep(after_s)
+        self.start(host, machine, service, bootstrap=False)
+
     def add_side(self, number, service="desk", **options):
         """Starts a side machine: an agent and its target."""
         host = f"{self.net}.{20 + number}"
@@ -703,6 +771,7 @@
             if process.poll() is None:
                 process.kill()
             process.wait(10)
+        self.relay.close()
         self.store.close()
         self.client.socket.close()
         self.record.file.close()
@@ -727,18 +796,23 @@
     pass
 
 
-def main(folder, case):
+def on_alarm(*_):
+    raise CannotRun("it took too long")
+
+
+def main(folder, case, fronts=2):
     """Runs case(deployment, trouble) and exits as issue 31 says.
 
     The case returns a list of lines that say how the rule was broken.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    signal.alarm(115)
+    signal.signal(signal.SIGALRM, on_alarm)
+    signal.alarm(100)
     code, deployment = 2, None
     try:
         if not (ROOT / "target/filberthollow-balancer").exists():
             raise CannotRun("the build of the deploy file is missing")
-        deployment = Deployment(pathlib.Path(folder))
+        deployment = Deployment(pathlib.Path(folder), fronts)
         broken = case(deployment, trouble)
         ends = deployment.unexpected_ends()
         for host in ends:
@@ -752,6 +826,7 @@
     except (CannotRun, OSError) as error:
         print(f"the case could not run: {error}", file=sys.stderr)
     finally:
+        signal.alarm(0)
         if deployment:
             deployment.close()
     sys.stdout.flush()
