--- a/review/standins.py
+++ b/review/standins.py
@@ -715,6 +715,8 @@
 
     def start(self, host, machine, service="", bootstrap=True):
         """Starts the role of a machine with the command of the deploy file."""
+        if self.closed.is_set():
+            return
         path = self.settings(host, machine, service, bootstrap)
         role = "balancer" if machine == "front" else "agent"
         command = [f"target/filberthollow-{role}", "--passthrough"]
