Log which heartbeats an agent ignores, and each run of its upstream

Now the lines heartbeat_ignored (with the reason, the run named and the run known) and upstream_run tell them apart, and there is a counter for each reason.

UpstreamLiveness returns the reason; its decisions are unchanged.

--- a/filberthollow/decision/flows/upstream_gate.h
+++ b/filberthollow/decision/flows/upstream_gate.h
@@ -106,11 +106,11 @@
                         const flow::PacketHeader& header,
                         base::Millis now,
                         GateActions& actions);
-  // Processes a heartbeat of the upstream. Returns false, and does nothing, if
-  // it is stale or from another upstream.
-  bool OnHeartbeat(const UpstreamHeartbeat& beat,
-                   base::Millis now,
-                   GateActions& actions);
+  // Processes a heartbeat of the upstream. Does nothing if IsIgnored() holds
+  // for the returned outcome.
+  HeartbeatOutcome OnHeartbeat(const UpstreamHeartbeat& beat,
+                               base::Millis now,
+                               GateActions& actions);
   // Processes the result of the health check that CheckUpstream asked for.
   void OnHealthCheck(bool answered, base::Millis now, GateActions& actions);
   // Applies the timeouts. Call it repeatedly, each time TickDelay() after the
@@ -146,6 +146,8 @@
   bool IsIdle() const {
     return !m_offers_pending && m_meter.count() == 0 && m_queue.size() == 0;
   }
+  // Returns the run of the upstream that flows are offered to.
+  const UpstreamRun& current_run() const { return m_liveness.current_run(); }
   // Returns the number of flows in the table, including offers and closed flows
   // that have not been removed yet.
   size_t flows() const { return m_flows.size(); }
--- a/filberthollow/decision/flows/upstream_gate_life.cc
+++ b/filberthollow/decision/flows/upstream_gate_life.cc
@@ -5,12 +5,12 @@
 
 using flow::Reason;
 
-bool UpstreamGate::OnHeartbeat(const UpstreamHeartbeat& beat,
-                               base::Millis now,
-                               GateActions& actions) {
+HeartbeatOutcome UpstreamGate::OnHeartbeat(const UpstreamHeartbeat& beat,
+                                           base::Millis now,
+                                           GateActions& actions) {
   HeartbeatOutcome outcome = m_liveness.OnHeartbeat(beat, now);
-  if (outcome == HeartbeatOutcome::kIgnored) {
-    return false;
+  if (IsIgnored(outcome)) {
+    return outcome;
   }
   if (outcome == HeartbeatOutcome::kNewRun) {
     ResetAllFlows(Reason::kUpstreamRestarted, now, actions);
@@ -22,7 +22,7 @@
   if (outcome != HeartbeatOutcome::kUnchanged) {
     actions.emplace_back(ReportNow{});
   }
-  return true;
+  return outcome;
 }
 
 void UpstreamGate::OnHealthCheck(bool answered,
--- a/filberthollow/decision/flows/upstream_gate_test.cc
+++ b/filberthollow/decision/flows/upstream_gate_test.cc
@@ -267,13 +267,14 @@
 
 BOOST_FIXTURE_TEST_CASE(StaleAndForeignHeartbeatsAreIgnored, Fixture) {
   DeliverHeartbeat(MakeHeartbeat(5, UpstreamState::kReady, 2000));
-  BOOST_TEST(!gate.OnHeartbeat(MakeHeartbeat(9, UpstreamState::kReady, 1000),
-                               now, actions));
-  BOOST_TEST(!gate.OnHeartbeat(MakeHeartbeat(4, UpstreamState::kDraining, 2000),
-                               now, actions));
+  BOOST_TEST((gate.OnHeartbeat(MakeHeartbeat(9, UpstreamState::kReady, 1000),
+                               now, actions) == HeartbeatOutcome::kEarlierRun));
+  BOOST_TEST((gate.OnHeartbeat(MakeHeartbeat(4, UpstreamState::kDraining, 2000),
+                               now, actions) == HeartbeatOutcome::kStale));
   UpstreamHeartbeat foreign = MakeHeartbeat(6, UpstreamState::kReady, 3000);
   foreign.service = "maps";
-  BOOST_TEST(!gate.OnHeartbeat(foreign, now, actions));
+  BOOST_TEST((gate.OnHeartbeat(foreign, now, actions) ==
+              HeartbeatOutcome::kOtherUpstream));
   BOOST_TEST((gate.Report(now).state == UpstreamState::kReady));
 }
 
--- a/filberthollow/decision/flows/upstream_life.cc
+++ b/filberthollow/decision/flows/upstream_life.cc
@@ -1,9 +1,21 @@
 #include "filberthollow/decision/flows/upstream_life.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace filberthollow::decision::flows {
+namespace {
+
+constexpr std::array<std::string_view, 8> kOutcomeNames{
+    "unchanged",          "changed",        "first_run", "new_run",
+    "shutdown_announced", "other_upstream", "stale",     "earlier_run"};
+
+}  // namespace
+
+std::string_view HeartbeatOutcomeName(HeartbeatOutcome outcome) {
+  return kOutcomeNames.at(static_cast<size_t>(outcome));
+}
 
 UpstreamLiveness::UpstreamLiveness(base::ServiceId service,
                                    base::Millis heartbeat_interval,
@@ -14,7 +26,8 @@
       m_last_flow_packet(now) {}
 
 uint64_t UpstreamLiveness::run() const {
-  return base::HashBytes(m_id, static_cast<uint64_t>(m_run_started.count()));
+  return base::HashBytes(m_run.id,
+                         static_cast<uint64_t>(m_run.started.count()));
 }
 
 bool UpstreamLiveness::IsAbsent(base::Millis now) const {
@@ -26,24 +39,31 @@
 HeartbeatOutcome UpstreamLiveness::OnHeartbeat(const UpstreamHeartbeat& beat,
                                                base::Millis now) {
   if (beat.state == UpstreamState::kGone) {
-    if (beat.id != m_id || m_state == UpstreamState::kGone) {
-      return HeartbeatOutcome::kIgnored;
+    if (beat.id != m_run.id) {
+      return HeartbeatOutcome::kOtherUpstream;
+    }
+    if (m_state == UpstreamState::kGone) {
+      return HeartbeatOutcome::kStale;
     }
     m_state = UpstreamState::kGone;
     m_shutdown_announced_at = now;
     return HeartbeatOutcome::kShutdownAnnounced;
   }
-  bool same_run = beat.id == m_id && beat.started == m_run_started;
-  if (base::ServiceIdOf(beat.service) != m_service ||
-      (!same_run && beat.started < m_run_started) ||
-      (same_run && beat.sequence <= m_last_sequence)) {
-    return HeartbeatOutcome::kIgnored;
+  if (base::ServiceIdOf(beat.service) != m_service) {
+    return HeartbeatOutcome::kOtherUpstream;
+  }
+  UpstreamRun run{beat.id, beat.started};
+  bool same_run = run == m_run;
+  if (!same_run && run.started < m_run.started) {
+    return HeartbeatOutcome::kEarlierRun;
+  }
+  if (same_run && beat.sequence <= m_last_sequence) {
+    return HeartbeatOutcome::kStale;
   }
-  bool had_run = !m_id.empty();
+  bool had_run = !m_run.id.empty();
   if (!same_run) {
     m_observed_from_start = had_run || beat.sequence <= 1;
-    m_id = beat.id;
-    m_run_started = beat.started;
+    m_run = std::move(run);
     m_shutdown_announced_at = base::kNever;
   }
   bool changed = m_state != beat.state || m_silent || IsRefusing(now);
--- a/filberthollow/decision/flows/upstream_life.h
+++ b/filberthollow/decision/flows/upstream_life.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "filberthollow/base/clock.h"
 #include "filberthollow/base/ids.h"
@@ -22,12 +23,30 @@
 
 // HeartbeatOutcome is the effect of a heartbeat on the recorded state.
 enum class HeartbeatOutcome : uint8_t {
-  kIgnored,            // stale, or from another upstream
   kUnchanged,          // the same run in the same state
   kChanged,            // new state, or no longer silent or refusing flows
   kFirstRun,           // the first run that this agent has seen
   kNewRun,             // another run has started, so the previous one has ended
   kShutdownAnnounced,  // the last heartbeat before a planned shutdown
+  // The following ones have no effect.
+  kOtherUpstream,  // names an upstream that this agent does not serve
+  kStale,          // a newer heartbeat of the same run has been processed
+  kEarlierRun,     // from a run that started before the current one
+};
+
+// Returns whether the heartbeat had no effect.
+constexpr bool IsIgnored(HeartbeatOutcome outcome) {
+  return outcome >= HeartbeatOutcome::kOtherUpstream;
+}
+
+// Returns the name of an outcome in logs and metrics.
+std::string_view HeartbeatOutcomeName(HeartbeatOutcome outcome);
+
+// UpstreamRun identifies one run of an upstream.
+struct UpstreamRun {
+  std::string id;            // empty if no run is known
+  base::Millis started{-1};  // calendar time, by the upstream's clock
+  friend bool operator==(const UpstreamRun&, const UpstreamRun&) = default;
 };
 
 // LivenessChange is the outcome of a tick.
@@ -86,7 +105,7 @@
                    base::Millis now);
 
   // Processes a heartbeat. The owner must also call RecordActivity() unless the
-  // outcome is kIgnored or kShutdownAnnounced.
+  // heartbeat was ignored or the outcome is kShutdownAnnounced.
   HeartbeatOutcome OnHeartbeat(const UpstreamHeartbeat& beat, base::Millis now);
   // Records that the upstream has sent something. Returns whether it was silent
   // until now.
@@ -112,6 +131,7 @@
   void OnProcessPaused(base::Millis now);
 
   UpstreamState state() const { return m_state; }
+  const UpstreamRun& current_run() const { return m_run; }
   // Returns a hash that identifies the current run.
   uint64_t run() const;
   // Returns how many requests the upstream processes concurrently; at least 1.
@@ -149,8 +169,7 @@
   const base::Millis m_absent_after;
 
   UpstreamState m_state = UpstreamState::kUnknown;
-  std::string m_id;
-  base::Millis m_run_started{-1};  // calendar time
+  UpstreamRun m_run;
   uint64_t m_last_sequence = 0;
   bool m_observed_from_start = false;
   uint32_t m_slots = 1;
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -13,6 +13,7 @@
 namespace {
 
 using base::Level;
+using decision::flows::HeartbeatOutcome;
 using decision::flows::UpstreamState;
 
 constexpr std::array<std::string_view, 4> kStateNames{"unknown", "ready",
@@ -86,14 +87,43 @@
 }
 
 void AgentTask::Handle(const HeartbeatReceived& m) {
-  if (!m_gate.OnHeartbeat(m.heartbeat, Now(), m_actions)) {
-    m_metrics.Add("beats_ignored");
+  decision::flows::UpstreamRun previous = m_gate.current_run();
+  HeartbeatOutcome outcome = m_gate.OnHeartbeat(m.heartbeat, Now(), m_actions);
+  if (decision::flows::IsIgnored(outcome)) {
+    LogIgnoredHeartbeat(m.heartbeat, outcome);
     return;
   }
+  if (outcome == HeartbeatOutcome::kFirstRun ||
+      outcome == HeartbeatOutcome::kNewRun) {
+    base::Log(Level::kInfo, "upstream_run",
+              {{"upstream", m.heartbeat.id},
+               {"started", m.heartbeat.started},
+               {"sequence", m.heartbeat.sequence},
+               {"previous", previous.id},
+               {"previous_started", previous.started}});
+  }
   LogUpstreamState(&m.heartbeat);
   ApplyActions();
 }
 
+void AgentTask::LogIgnoredHeartbeat(
+    const decision::flows::UpstreamHeartbeat& heartbeat,
+    HeartbeatOutcome outcome) {
+  std::string reason(HeartbeatOutcomeName(outcome));
+  m_metrics.Add("beats_ignored");
+  m_metrics.Add("beats_ignored_" + reason);
+  const decision::flows::UpstreamRun& run = m_gate.current_run();
+  base::Log(Level::kWarning, "heartbeat_ignored",
+            {{"upstream", heartbeat.id},
+             {"reason", reason},
+             {"state", std::string(StateName(heartbeat.state))},
+             {"service", heartbeat.service},
+             {"started", heartbeat.started},
+             {"sequence", heartbeat.sequence},
+             {"current", run.id},
+             {"current_started", run.started}});
+}
+
 void AgentTask::LogUpstreamState(
     const decision::flows::UpstreamHeartbeat* heartbeat) {
   UpstreamState state = m_gate.Report(Now()).state;
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -99,6 +99,9 @@
   void Apply(const decision::flows::RequestAnswered& note);
   void Apply(const decision::flows::UpstreamReset& note);
   void Apply(const decision::flows::UpstreamSilence& note);
+  // Logs and counts a heartbeat that had no effect.
+  void LogIgnoredHeartbeat(const decision::flows::UpstreamHeartbeat& heartbeat,
+                           decision::flows::HeartbeatOutcome outcome);
   // Logs the state reported for the upstream if it has changed. `heartbeat` is
   // the one that changed it, or null if it was a timeout.
   void LogUpstreamState(const decision::flows::UpstreamHeartbeat* heartbeat);
