Answer a heartbeat when it has been judged

Cause: the control service answered each readable heartbeat with 200 and then passed it on; the packets service ignored it if it was late, of another service or of another run.

Now the control service keeps the request until the packets service has told it the effect. A heartbeat that is in effect, or repeats what is in effect, gets 200; one of another upstream 404, a late one that says something else 409, one of a run that is not known to be the current one 503. So what is acknowledged is in force, and the sender of what is not can say it again.

--- a/filberthollow/decision/flows/upstream_life.cc
+++ b/filberthollow/decision/flows/upstream_life.cc
@@ -7,9 +7,10 @@
 namespace filberthollow::decision::flows {
 namespace {
 
-constexpr std::array<std::string_view, 8> kOutcomeNames{
-    "unchanged",          "changed",        "first_run", "new_run",
-    "shutdown_announced", "other_upstream", "stale",     "earlier_run"};
+constexpr std::array<std::string_view, 9> kOutcomeNames{
+    "unchanged",          "changed",  "first_run",      "new_run",
+    "shutdown_announced", "repeated", "other_upstream", "stale",
+    "earlier_run"};
 
 }  // namespace
 
@@ -43,7 +44,7 @@
       return HeartbeatOutcome::kOtherUpstream;
     }
     if (m_state == UpstreamState::kGone) {
-      return HeartbeatOutcome::kStale;
+      return HeartbeatOutcome::kRepeated;
     }
     m_state = UpstreamState::kGone;
     m_shutdown_announced_at = now;
@@ -58,7 +59,8 @@
     return HeartbeatOutcome::kEarlierRun;
   }
   if (same_run && beat.sequence <= m_last_sequence) {
-    return HeartbeatOutcome::kStale;
+    return beat.state == m_state ? HeartbeatOutcome::kRepeated
+                                 : HeartbeatOutcome::kStale;
   }
   bool had_run = !m_run.id.empty();
   if (!same_run) {
--- a/filberthollow/decision/flows/upstream_life.h
+++ b/filberthollow/decision/flows/upstream_life.h
@@ -29,6 +29,7 @@
   kNewRun,             // another run has started, so the previous one has ended
   kShutdownAnnounced,  // the last heartbeat before a planned shutdown
   // The following ones have no effect.
+  kRepeated,       // late or repeated, and says what is in effect anyway
   kOtherUpstream,  // names an upstream that this agent does not serve
   kStale,          // a newer heartbeat of the same run has been processed
   kEarlierRun,     // from a run that started before the current one
@@ -36,7 +37,7 @@
 
 // Returns whether the heartbeat had no effect.
 constexpr bool IsIgnored(HeartbeatOutcome outcome) {
-  return outcome >= HeartbeatOutcome::kOtherUpstream;
+  return outcome >= HeartbeatOutcome::kRepeated;
 }
 
 // Returns the name of an outcome in logs and metrics.
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -89,6 +89,7 @@
 void AgentTask::Handle(const HeartbeatReceived& m) {
   decision::flows::UpstreamRun previous = m_gate.current_run();
   HeartbeatOutcome outcome = m_gate.OnHeartbeat(m.heartbeat, Now(), m_actions);
+  Post(kControlService, ControlMessage(HeartbeatJudged{m.request, outcome}));
   if (decision::flows::IsIgnored(outcome)) {
     LogIgnoredHeartbeat(m.heartbeat, outcome);
     return;
--- a/filberthollow/passthrough/control_task.cc
+++ b/filberthollow/passthrough/control_task.cc
@@ -9,8 +9,27 @@
 namespace filberthollow::passthrough {
 namespace {
 
+using decision::flows::HeartbeatOutcome;
+
 constexpr const char* kConfigPath = "/config";
 
+// Returns the HTTP status that tells the sender of a heartbeat its effect. Only
+// a heartbeat that is in effect is acknowledged with a status 2xx.
+uint16_t StatusOf(HeartbeatOutcome outcome) {
+  switch (outcome) {
+    case HeartbeatOutcome::kOtherUpstream:
+      return net::kHttpNotFound;
+    case HeartbeatOutcome::kStale:
+      return net::kHttpConflict;
+    case HeartbeatOutcome::kEarlierRun:
+      // It may have started later, after its clock was set back: its next
+      // heartbeats show that.
+      return net::kHttpUnavailable;
+    default:
+      return net::kHttpOk;
+  }
+}
+
 }  // namespace
 
 ControlTask::ControlTask(const base::Clock& clock,
@@ -71,9 +90,21 @@
     responder->Respond({.status = net::kHttpBadRequest, .body = "{}"});
     return;
   }
-  Post(kPacketsService,
-       PacketsMessage(HeartbeatReceived{std::move(*heartbeat)}));
-  responder->Respond({.body = "{}"});
+  uint64_t id = ++m_last_heartbeat;
+  m_unjudged_heartbeats.emplace(id, responder);
+  responder->SetOnClosed([this, id] { m_unjudged_heartbeats.erase(id); });
+  if (!Post(kPacketsService,
+            PacketsMessage(HeartbeatReceived{id, std::move(*heartbeat)}))) {
+    m_unjudged_heartbeats.erase(id);
+    responder->Respond({.status = net::kHttpUnavailable, .body = "{}"});
+  }
+}
+
+void ControlTask::Handle(const HeartbeatJudged& m) {
+  auto unjudged = m_unjudged_heartbeats.extract(m.request);
+  if (!unjudged.empty()) {
+    unjudged.mapped()->Respond({.status = StatusOf(m.outcome), .body = "{}"});
+  }
 }
 
 void ControlTask::OnPeerRequest(const net::HttpServerRequest& request,
--- a/filberthollow/passthrough/control_task.h
+++ b/filberthollow/passthrough/control_task.h
@@ -8,6 +8,7 @@
 #ifndef FILBERTHOLLOW_PASSTHROUGH_CONTROL_TASK_H_
 #define FILBERTHOLLOW_PASSTHROUGH_CONTROL_TASK_H_
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -52,11 +53,13 @@
   void Handle(const FetchPeerConfig& m);
   void Handle(const CheckHealth& m);
   void Handle(const HealthPathChanged& m) { m_health_path = m.path; }
+  void Handle(const HeartbeatJudged& m);
 
   // Answers 200 or 503 to a readiness check and 404 to other requests.
   void OnReadinessRequest(const net::HttpServerRequest& request,
                           const ResponderPtr& responder);
-  // Forwards a heartbeat to the packets service; answers 400 if it is invalid.
+  // Forwards a heartbeat to the packets service, whose judgement is the answer;
+  // answers 400 if it is invalid.
   void OnHeartbeatRequest(const net::HttpServerRequest& request,
                           const ResponderPtr& responder);
   // Serves the configuration to a peer.
@@ -71,6 +74,9 @@
   net::HttpClient m_client;
   bool m_ready = false;
   bool m_fetching_config = false;
+  // Heartbeats that the packets service has not judged yet.
+  std::map<uint64_t, ResponderPtr> m_unjudged_heartbeats;
+  uint64_t m_last_heartbeat = 0;  // its key in m_unjudged_heartbeats
   std::vector<platform::StoredObject> m_objects;
   // Encoded form of `m_objects`; empty until a peer first requests it.
   std::string m_encoded_objects;
--- a/filberthollow/passthrough/messages.h
+++ b/filberthollow/passthrough/messages.h
@@ -11,6 +11,7 @@
 #include "filberthollow/base/address.h"
 #include "filberthollow/decision/flows/packet_messages.h"
 #include "filberthollow/decision/flows/route_table.h"
+#include "filberthollow/decision/flows/upstream_life.h"
 #include "filberthollow/platform/object_store.h"
 
 namespace filberthollow::passthrough {
@@ -34,8 +35,9 @@
                          const BalancersFound&) = default;
 };
 
-// Carries a heartbeat from the upstream.
+// Carries a heartbeat from the upstream. HeartbeatJudged is the reply.
 struct HeartbeatReceived {
+  uint64_t request = 0;  // identifies the HTTP request
   decision::flows::UpstreamHeartbeat heartbeat;
   friend bool operator==(const HeartbeatReceived&,
                          const HeartbeatReceived&) = default;
@@ -94,12 +96,20 @@
                          const HealthPathChanged&) = default;
 };
 
+// Carries the effect of a heartbeat, which its sender is to be told.
+struct HeartbeatJudged {
+  uint64_t request = 0;  // as in HeartbeatReceived
+  decision::flows::HeartbeatOutcome outcome{};
+  friend bool operator==(HeartbeatJudged, HeartbeatJudged) = default;
+};
+
 // A message to the control service.
 using ControlMessage = std::variant<ReadinessChanged,
                                     ConfigObjectsChanged,
                                     FetchPeerConfig,
                                     CheckHealth,
-                                    HealthPathChanged>;
+                                    HealthPathChanged,
+                                    HeartbeatJudged>;
 
 }  // namespace filberthollow::passthrough
 
