--- a/filberthollow/config/adapter.h
+++ b/filberthollow/config/adapter.h
@@ -7,8 +7,6 @@
 #ifndef FILBERTHOLLOW_CONFIG_ADAPTER_H_
 #define FILBERTHOLLOW_CONFIG_ADAPTER_H_
 
-#include <optional>
-
 #include "filberthollow/base/error.h"
 #include "filberthollow/config/fleet_config_task.h"
 #include "filberthollow/decision/flows/packet_messages.h"
@@ -23,9 +21,9 @@
 struct Adapter {
   // Parses and builds the packets of callers and upstreams. Not owned.
   const flow::PacketFormat* packet_format = nullptr;
-  // Parses an upstream's heartbeat from an HTTP request. Returns nullopt if the
-  // request does not identify an upstream.
-  std::optional<decision::flows::UpstreamHeartbeat> (*read_heartbeat)(
+  // Parses an upstream's heartbeat from an HTTP request. Fails if the request
+  // does not identify an upstream.
+  base::Result<decision::flows::UpstreamHeartbeat> (*read_heartbeat)(
       const net::HttpServerRequest&) = nullptr;
   // Returns whether the request is the network fabric's readiness check, which
   // asks whether callers' packets may be sent to this process.
--- a/filberthollow/decision/flows/packet_messages.h
+++ b/filberthollow/decision/flows/packet_messages.h
@@ -35,6 +35,7 @@
 struct UpstreamHeartbeat {
   std::string id;
   std::string service;
+  base::Address address;  // at which the upstream receives requests
   base::Millis started;   // wall-clock start time; identifies the run
   uint64_t sequence = 0;  // increases with each heartbeat of a run
   UpstreamState state{};
--- a/filberthollow/decision/flows/upstream_gate.cc
+++ b/filberthollow/decision/flows/upstream_gate.cc
@@ -23,7 +23,10 @@
 UpstreamGate::UpstreamGate(GateOptions options, base::Millis now)
     : m_options(options),
       m_started(now),
-      m_liveness(options.service, options.heartbeat_interval, now),
+      m_liveness(options.service,
+                 options.upstream,
+                 options.heartbeat_interval,
+                 now),
       m_last_tick(now),
       m_queue(*options.queue_order),
       m_meter(now) {}
--- a/filberthollow/decision/flows/upstream_gate.h
+++ b/filberthollow/decision/flows/upstream_gate.h
@@ -47,6 +47,7 @@
 // GateOptions don't change after construction.
 struct GateOptions {
   base::ServiceId service{};
+  base::Address upstream;
   uint64_t data_centre = 0;  // hash of its name
   // Whether the whole system starts for the first time, so that the upstream
   // can't hold a flow that this agent has not seen.
--- a/filberthollow/decision/flows/upstream_life.cc
+++ b/filberthollow/decision/flows/upstream_life.cc
@@ -19,9 +19,11 @@
 }
 
 UpstreamLiveness::UpstreamLiveness(base::ServiceId service,
+                                   base::Address upstream,
                                    base::Millis heartbeat_interval,
                                    base::Millis now)
     : m_service(service),
+      m_upstream(upstream),
       m_absent_after(heartbeat_interval * kAbsentHeartbeats + kAbsentSlack),
       m_last_activity(now),
       m_last_flow_packet(now) {}
@@ -37,6 +39,11 @@
          now - m_last_flow_packet > m_absent_after;
 }
 
+bool UpstreamLiveness::NamesUpstream(const UpstreamHeartbeat& beat) const {
+  return base::ServiceIdOf(beat.service) == m_service &&
+         beat.address.ip == m_upstream.ip;
+}
+
 HeartbeatOutcome UpstreamLiveness::OnHeartbeat(const UpstreamHeartbeat& beat,
                                                base::Millis now) {
   if (beat.state == UpstreamState::kGone) {
@@ -50,7 +57,7 @@
     m_shutdown_announced_at = now;
     return HeartbeatOutcome::kShutdownAnnounced;
   }
-  if (base::ServiceIdOf(beat.service) != m_service) {
+  if (!NamesUpstream(beat)) {
     return HeartbeatOutcome::kOtherUpstream;
   }
   UpstreamRun run{beat.id, beat.started};
--- a/filberthollow/decision/flows/upstream_life.h
+++ b/filberthollow/decision/flows/upstream_life.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <string_view>
 
+#include "filberthollow/base/address.h"
 #include "filberthollow/base/clock.h"
 #include "filberthollow/base/ids.h"
 #include "filberthollow/decision/flows/packet_messages.h"
@@ -100,8 +101,10 @@
   static constexpr int64_t kAbsentHeartbeats = 2;
   static constexpr base::Millis kAbsentSlack{500};
 
-  // Heartbeats of other services than `service` are ignored.
+  // Heartbeats that name another service than `service`, or another host than
+  // that of `upstream`, are ignored.
   UpstreamLiveness(base::ServiceId service,
+                   base::Address upstream,
                    base::Millis heartbeat_interval,
                    base::Millis now);
 
@@ -166,7 +169,12 @@
   }
 
  private:
+  // Returns whether the heartbeat names the upstream of this agent. The port is
+  // not compared: the upstream may be bound to several.
+  bool NamesUpstream(const UpstreamHeartbeat& beat) const;
+
   const base::ServiceId m_service;
+  const base::Address m_upstream;
   const base::Millis m_absent_after;
 
   UpstreamState m_state = UpstreamState::kUnknown;
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -26,6 +26,7 @@
 decision::flows::GateOptions GateOptionsFrom(
     const settings::NodeSettings& settings) {
   return {.service = base::ServiceIdOf(settings.service),
+          .upstream = settings.upstream,
           .data_centre = base::HashBytes(settings.data_centre),
           .first_start = settings.first_start,
           .flow_lifetime = settings.flow_lifetime,
@@ -107,6 +108,10 @@
   ApplyActions();
 }
 
+void AgentTask::Handle(const HeartbeatMalformed& /*m*/) {
+  m_metrics.Add("beats_malformed");
+}
+
 void AgentTask::LogIgnoredHeartbeat(
     const decision::flows::UpstreamHeartbeat& heartbeat,
     HeartbeatOutcome outcome) {
@@ -119,6 +124,7 @@
              {"reason", reason},
              {"state", std::string(StateName(heartbeat.state))},
              {"service", heartbeat.service},
+             {"address", heartbeat.address.Text()},
              {"started", heartbeat.started},
              {"sequence", heartbeat.sequence},
              {"current", run.id},
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -58,6 +58,7 @@
   void Handle(const RoutesChanged& m);
   void Handle(const BalancersFound& m);
   void Handle(const HeartbeatReceived& /*m*/) {}
+  void Handle(const HeartbeatMalformed& /*m*/) {}
   void Handle(const HealthCheckResult& /*m*/) {}
   void Handle(const LeaveFleet& m);
   void Handle(const admin::ReportQuery& m);
--- a/filberthollow/passthrough/control_task.cc
+++ b/filberthollow/passthrough/control_task.cc
@@ -87,6 +87,9 @@
                                      const ResponderPtr& responder) {
   auto heartbeat = m_adapter.read_heartbeat(request);
   if (!heartbeat) {
+    base::Log(base::Level::kWarning, "heartbeat_malformed",
+              {{"path", request.path}, {"error", heartbeat.error().Text()}});
+    Post(kPacketsService, PacketsMessage(HeartbeatMalformed{}));
     responder->Respond({.status = net::kHttpBadRequest, .body = "{}"});
     return;
   }
--- a/filberthollow/passthrough/messages.h
+++ b/filberthollow/passthrough/messages.h
@@ -43,6 +43,11 @@
                          const HeartbeatReceived&) = default;
 };
 
+// Reports that a heartbeat could not be read, for metrics.
+struct HeartbeatMalformed {
+  friend bool operator==(HeartbeatMalformed, HeartbeatMalformed) = default;
+};
+
 // Carries the result of a health check requested by CheckHealth.
 struct HealthCheckResult {
   // The upstream sent an HTTP response, with any status.
@@ -60,6 +65,7 @@
 using PacketsMessage = std::variant<RoutesChanged,
                                     BalancersFound,
                                     HeartbeatReceived,
+                                    HeartbeatMalformed,
                                     HealthCheckResult,
                                     LeaveFleet,
                                     admin::ReportQuery>;
--- a/filberthollow/platform/announcement.h
+++ b/filberthollow/platform/announcement.h
@@ -4,13 +4,12 @@
 //   DELETE /filberthollow/instances/ID   planned termination of the upstream ID
 //   GET    /filberthollow/readiness      readiness check
 //
-//   std::optional<decision::flows::UpstreamHeartbeat> heartbeat =
+//   base::Result<decision::flows::UpstreamHeartbeat> heartbeat =
 //       ReadHeartbeat(request);
 #ifndef FILBERTHOLLOW_PLATFORM_ANNOUNCEMENT_H_
 #define FILBERTHOLLOW_PLATFORM_ANNOUNCEMENT_H_
 
-#include <optional>
-
+#include "filberthollow/base/error.h"
 #include "filberthollow/decision/flows/packet_messages.h"
 #include "filberthollow/net/http_server.h"
 
@@ -18,10 +17,10 @@
 
 // ReadHeartbeat parses a heartbeat of an upstream. A DELETE request yields a
 // heartbeat in which only `id` and the state, kGone, are set.
-// Returns nullopt if the path or the method is another one, the body is not
-// valid JSON, a field is missing or cannot be read as its type, or the state
-// is unknown.
-std::optional<decision::flows::UpstreamHeartbeat> ReadHeartbeat(
+// Fails if the path or the method is another one, the body is not valid JSON,
+// any field of a heartbeat is missing or has another type, or the state is
+// unknown. Such a heartbeat names no upstream, whatever its other fields say.
+base::Result<decision::flows::UpstreamHeartbeat> ReadHeartbeat(
     const net::HttpServerRequest& request);
 
 // IsReadinessCheck returns whether the request is the network fabric's check
--- a/filberthollow/platform/platform_fleet.py
+++ b/filberthollow/platform/platform_fleet.py
@@ -89,6 +89,7 @@
         self.first_seq = first_seq
         self.state = "ready"
         self.sequence = 0
+        self.identifier = f"i-{first_seq}"
         self.start_ms = int(time.time() * 1000)
         self.flows = set()
         self.opened = 0
@@ -106,17 +107,20 @@
             thread.join()
         self.socket.close()
 
-    def send_heartbeat(self, body=None):
-        """Sends a heartbeat, or `body`, and returns the HTTP status."""
+    def heartbeat(self):
+        """Returns the fields of the next heartbeat."""
         self.sequence += 1
-        heartbeat = {"service": self.service, "address": f"{self.host}:1",
-                     "zone": "here", "version": "v1", "slots": 4,
-                     "state": self.state, "coldRemainingMs": 0,
-                     "sequence": self.sequence, "born": self.start_ms}
-        text = json.dumps(heartbeat) if body is None else body
+        return {"service": self.service, "address": f"{self.host}:1",
+                "zone": "here", "version": "v1", "slots": 4,
+                "state": self.state, "coldRemainingMs": 0,
+                "sequence": self.sequence, "born": self.start_ms}
+
+    def send_heartbeat(self, body=None, identifier=None, method="PUT"):
+        """Sends a heartbeat, or `body`, and returns the HTTP status."""
+        text = json.dumps(self.heartbeat()) if body is None else body
         return http(f"{self.host}:{PORTS['control']}",
-                    f"/filberthollow/instances/i-{self.first_seq}", text,
-                    "PUT")[0]
+                    f"/filberthollow/instances/{identifier or self.identifier}",
+                    text, method)[0]
 
     def _heartbeat_loop(self):
         while not self.stopping.wait(HEARTBEAT_SECONDS):
--- a/filberthollow/platform/platform_test.cc
+++ b/filberthollow/platform/platform_test.cc
@@ -1,4 +1,8 @@
+#include <fmt/format.h>
+
 #include <boost/test/unit_test.hpp>
+#include <utility>
+#include <vector>
 
 #include "filberthollow/platform/announcement.h"
 #include "filberthollow/platform/node_settings.h"
@@ -55,11 +59,12 @@
       R"({"service":"desk","address":"10.0.0.1:80","zone":"a","version":"v1",
           "slots":4,"state":"draining","coldRemainingMs":7,"sequence":3,
           "born":1700000000123})"));
-  BOOST_REQUIRE(heartbeat.has_value());
+  BOOST_REQUIRE(heartbeat);
   BOOST_TEST(
       (*heartbeat == decision::flows::UpstreamHeartbeat{
                          .id = "i-7",
                          .service = "desk",
+                         .address = {0x0a000001, 80},
                          .started = base::Millis(1700000000123),
                          .sequence = 3,
                          .state = decision::flows::UpstreamState::kDraining,
@@ -67,22 +72,70 @@
                          .cold_remaining = base::Millis(7)}));
 }
 
+// Returns the body of a valid heartbeat in which `field` has another value, or
+// is missing if `value` is empty.
+std::string HeartbeatBody(const std::string& field, const std::string& value) {
+  const std::vector<std::pair<std::string, std::string>> valid{
+      {"service", R"("desk")"}, {"address", R"("10.0.0.1:80")"},
+      {"zone", R"("a")"},       {"version", R"("v1")"},
+      {"slots", "4"},           {"state", R"("ready")"},
+      {"coldRemainingMs", "0"}, {"sequence", "3"},
+      {"born", "1700000000123"}};
+  std::string body;
+  for (const auto& [name, original] : valid) {
+    const std::string& used = name == field ? value : original;
+    if (!used.empty()) {
+      body += fmt::format(R"({}"{}":{})", body.empty() ? "{" : ",", name, used);
+    }
+  }
+  return body + "}";
+}
+
 BOOST_AUTO_TEST_CASE(RejectsMalformedHeartbeats) {
-  for (const char* body : {"", "nonsense", "[]", "{}",
-                           R"({"service":"desk","slots":"four","state":"ready",
-            "coldRemainingMs":0,"sequence":3,"born":1})",
-                           R"({"service":"desk","slots":4,"state":"asleep",
-            "coldRemainingMs":0,"sequence":3,"born":1})",
-                           R"({"service":"desk","slots":4,"state":"ready",
-            "coldRemainingMs":0,"sequence":3,"born":"1"})"}) {
-    BOOST_TEST(!ReadHeartbeat(HeartbeatRequest(body)).has_value());
+  for (const char* body : {"", "nonsense", "[]", "{}", "\xff\xfe", "{} {}"}) {
+    BOOST_TEST(!ReadHeartbeat(HeartbeatRequest(body)));
+  }
+}
+
+// Guards against the heartbeat of another writer, in which fields are missing
+// or have another type: it was taken for a new run of the upstream, whose open
+// flows were reset.
+BOOST_AUTO_TEST_CASE(RejectsHeartbeatWithMissingOrWrongField) {
+  BOOST_REQUIRE(ReadHeartbeat(HeartbeatRequest(HeartbeatBody("", ""))));
+  const std::string not_text[] = {"", "null", "7", "true", "[]", "{}"};
+  const std::string not_whole[] = {"",     "null", R"("4")",
+                                   "true", "4.5",  "-1",
+                                   "1e30", "[4]",  "18446744073709551615"};
+  for (const char* field : {"service", "address", "zone", "version", "state"}) {
+    for (const std::string& value : not_text) {
+      auto heartbeat =
+          ReadHeartbeat(HeartbeatRequest(HeartbeatBody(field, value)));
+      BOOST_REQUIRE_MESSAGE(!heartbeat, field << " = " << value);
+      BOOST_TEST(heartbeat.error().peer == field);
+    }
+  }
+  for (const char* field : {"slots", "sequence", "born"}) {
+    for (const std::string& value : not_whole) {
+      auto heartbeat =
+          ReadHeartbeat(HeartbeatRequest(HeartbeatBody(field, value)));
+      BOOST_REQUIRE_MESSAGE(!heartbeat, field << " = " << value);
+      BOOST_TEST(heartbeat.error().peer == field);
+    }
   }
+  for (const char* value : {"", "null", R"("0")", "true"}) {
+    BOOST_TEST(!ReadHeartbeat(
+        HeartbeatRequest(HeartbeatBody("coldRemainingMs", value))));
+  }
+  BOOST_TEST(
+      !ReadHeartbeat(HeartbeatRequest(HeartbeatBody("state", R"("asleep")"))));
+  BOOST_TEST(!ReadHeartbeat(
+      HeartbeatRequest(HeartbeatBody("address", R"("nowhere")"))));
 }
 
 BOOST_AUTO_TEST_CASE(DeleteRequestReportsUpstreamGone) {
   auto heartbeat = ReadHeartbeat(
       {.method = "DELETE", .path = "/filberthollow/instances/i-7"});
-  BOOST_REQUIRE(heartbeat.has_value());
+  BOOST_REQUIRE(heartbeat);
   BOOST_TEST((heartbeat->state == decision::flows::UpstreamState::kGone));
   BOOST_TEST(heartbeat->id == "i-7");
 }
