--- a/filberthollow/decision/flows/upstream_gate.cc
+++ b/filberthollow/decision/flows/upstream_gate.cc
@@ -229,7 +229,10 @@
                                         const PacketHeader& header,
                                         base::Millis now) {
   flow.last_used = now;
-  flow.accepted = true;
+  if (!flow.accepted) {
+    flow.accepted = true;
+    flow.accepted_at = now;
+  }
   uint32_t end = header.sequence + header.data_bytes;
   if (!flow.upstream_end_known ||
       flow::SequenceDistance(end, flow.upstream_end) > 0) {
@@ -263,7 +266,6 @@
     OnBouncedPacket(header, now, actions);
     return;
   }
-  m_liveness.RecordFlowPacket(now);
   FlowEnds ends = header.ToCaller();
   auto [found, added] = m_flows.try_emplace(ends);
   Flow& flow = found->second;
@@ -286,6 +288,7 @@
         now - flow.offered_at});
   }
   RecordUpstreamPacket(flow, header, now);
+  m_liveness.RecordFlowPacket(flow.accepted_at, now);
   DeliverQueuedRequests(now, actions);
   if (auto probe = m_probes.Confirm(ends)) {
     SendAnswer(probe->balancer, ends, Holding::kHeld, {}, "", now, actions);
@@ -395,9 +398,9 @@
 }
 
 void UpstreamGate::OnTick(base::Millis now, GateActions& actions) {
-  base::Millis gap = now - m_last_tick;
+  bool was_paused = WasPaused(now);
   m_last_tick = now;
-  if (gap > kMaxTickGap) {
+  if (was_paused) {
     m_liveness.OnProcessPaused(now);
     return;
   }
--- a/filberthollow/decision/flows/upstream_gate.h
+++ b/filberthollow/decision/flows/upstream_gate.h
@@ -172,8 +172,9 @@
     uint32_t upstream_end = 0;         // sequence after the last upstream byte
     uint32_t caller_end = 0;           // sequence after the last caller byte
     uint32_t caller_acknowledged = 0;  // the caller's last acknowledgement
-    base::Address balancer;   // that forwarded the last packet of the caller
-    base::Millis offered_at;  // or first seen, if it was never offered
+    base::Address balancer;    // that forwarded the last packet of the caller
+    base::Millis offered_at;   // or first seen, if it was never offered
+    base::Millis accepted_at;  // only if `accepted`
     base::Millis last_used;
     base::Millis request_since;  // when `request_pending` last changed
     // Packets of the queued request, by sequence number; empty if there is
@@ -237,11 +238,13 @@
                          Flow& flow,
                          bool pending,
                          base::Millis now);
-  // Resets the callers of all open flows, since the upstream has lost its
-  // flows, and clears the table.
-  void ResetAllFlows(flow::Reason reason,
-                     base::Millis now,
-                     GateActions& actions);
+  // Removes the flows that the upstream had accepted until `accepted_until`,
+  // since it has lost them, and the offers made until then. Resets the callers
+  // of the open ones.
+  void ResetFlows(base::Millis accepted_until,
+                  flow::Reason reason,
+                  base::Millis now,
+                  GateActions& actions);
   // Records that the upstream has sent something.
   void RecordUpstreamActivity(base::Millis now, GateActions& actions);
   // Reports that the upstream became silent or is no longer silent, to
@@ -266,6 +269,10 @@
                    GateActions& actions) const;
   // Stops counting requests in flight after InFlightMeter::kMaxRequestTime.
   void ExpireOverdueRequests(base::Millis now);
+  // Returns whether this process did not run for some time before now.
+  bool WasPaused(base::Millis now) const {
+    return now - m_last_tick > kMaxTickGap;
+  }
   // Applies the liveness timeouts, and resets all flows of a dead upstream.
   void CheckLiveness(base::Millis now, GateActions& actions);
   // Refuses offers without an answer after UpstreamLiveness::kOpenTimeout.
--- a/filberthollow/decision/flows/upstream_gate_life.cc
+++ b/filberthollow/decision/flows/upstream_gate_life.cc
@@ -8,12 +8,16 @@
 HeartbeatOutcome UpstreamGate::OnHeartbeat(const UpstreamHeartbeat& beat,
                                            base::Millis now,
                                            GateActions& actions) {
+  if (WasPaused(now)) {
+    m_liveness.OnProcessPaused(now);
+  }
   HeartbeatOutcome outcome = m_liveness.OnHeartbeat(beat, now);
   if (IsIgnored(outcome)) {
     return outcome;
   }
   if (outcome == HeartbeatOutcome::kNewRun) {
-    ResetAllFlows(Reason::kUpstreamRestarted, now, actions);
+    ResetFlows(m_liveness.previous_run_alive(), Reason::kUpstreamRestarted, now,
+               actions);
   }
   if (outcome != HeartbeatOutcome::kShutdownAnnounced) {
     m_queue.SetSlots(m_liveness.slots());
@@ -51,19 +55,28 @@
   actions.emplace_back(ReportNow{});
 }
 
-void UpstreamGate::ResetAllFlows(Reason reason,
-                                 base::Millis now,
-                                 GateActions& actions) {
-  for (const auto& [ends, flow] : m_flows) {
-    if (flow.stage == Stage::kOpen) {
-      actions.emplace_back(ResetCaller{ends, flow.caller_acknowledged, reason});
+void UpstreamGate::ResetFlows(base::Millis accepted_until,
+                              Reason reason,
+                              base::Millis now,
+                              GateActions& actions) {
+  for (auto flow = m_flows.begin(); flow != m_flows.end();) {
+    const Flow& state = flow->second;
+    if ((state.accepted ? state.accepted_at : state.offered_at) >
+        accepted_until) {
+      ++flow;
+      continue;
     }
+    if (state.stage == Stage::kOpen) {
+      actions.emplace_back(
+          ResetCaller{flow->first, state.caller_acknowledged, reason});
+    }
+    flow = Erase(flow, now);
+  }
+  if (m_flows.empty()) {
+    m_queue.Clear();
+    m_meter.Clear(now);
+    m_offers_pending = false;
   }
-  m_flows.clear();
-  m_queue.Clear();
-  m_meter.Clear(now);
-  m_open_flows = 0;
-  m_offers_pending = false;
 }
 
 void UpstreamGate::CheckLiveness(base::Millis now, GateActions& actions) {
@@ -75,11 +88,11 @@
     actions.emplace_back(CheckUpstream{});
   }
   if (change.shutdown_completed) {
-    ResetAllFlows(Reason::kUpstreamRestarted, now, actions);
+    ResetFlows(now, Reason::kUpstreamRestarted, now, actions);
     actions.emplace_back(ReportNow{});
   }
   if (change.dead && !m_flows.empty()) {
-    ResetAllFlows(Reason::kUpstreamSilent, now, actions);
+    ResetFlows(now, Reason::kUpstreamSilent, now, actions);
   }
 }
 
--- a/filberthollow/decision/flows/upstream_life.cc
+++ b/filberthollow/decision/flows/upstream_life.cc
@@ -25,12 +25,13 @@
     : m_service(service),
       m_upstream(upstream),
       m_absent_after(heartbeat_interval * kAbsentHeartbeats + kAbsentSlack),
+      m_runs(heartbeat_interval),
       m_last_activity(now),
       m_last_flow_packet(now) {}
 
 uint64_t UpstreamLiveness::run() const {
-  return base::HashBytes(m_run.id,
-                         static_cast<uint64_t>(m_run.started.count()));
+  const UpstreamRun& run = m_runs.current();
+  return base::HashBytes(run.id, static_cast<uint64_t>(run.started.count()));
 }
 
 bool UpstreamLiveness::IsAbsent(base::Millis now) const {
@@ -47,7 +48,7 @@
 HeartbeatOutcome UpstreamLiveness::OnHeartbeat(const UpstreamHeartbeat& beat,
                                                base::Millis now) {
   if (beat.state == UpstreamState::kGone) {
-    if (beat.id != m_run.id) {
+    if (beat.id != m_runs.current().id) {
       return HeartbeatOutcome::kOtherUpstream;
     }
     if (m_state == UpstreamState::kGone) {
@@ -60,33 +61,44 @@
   if (!NamesUpstream(beat)) {
     return HeartbeatOutcome::kOtherUpstream;
   }
-  UpstreamRun run{beat.id, beat.started};
-  bool same_run = run == m_run;
-  if (!same_run && run.started < m_run.started) {
+  RunVerdict verdict =
+      m_runs.OnHeartbeat({beat.id, beat.started}, beat.sequence, now);
+  if (verdict == RunVerdict::kEarlier) {
     return HeartbeatOutcome::kEarlierRun;
   }
-  if (same_run && beat.sequence <= m_last_sequence) {
+  if (verdict == RunVerdict::kStale) {
     return beat.state == m_state ? HeartbeatOutcome::kRepeated
                                  : HeartbeatOutcome::kStale;
   }
-  bool had_run = !m_run.id.empty();
-  if (!same_run) {
-    m_observed_from_start = had_run || beat.sequence <= 1;
-    m_run = std::move(run);
+  if (verdict != RunVerdict::kCurrent) {
+    m_observed_from_start =
+        verdict == RunVerdict::kReplaced || beat.sequence <= 1;
+    m_previous_run_alive = m_run_alive;
     m_shutdown_announced_at = base::kNever;
   }
   bool changed = m_state != beat.state || m_silent || IsRefusing(now);
   m_state = beat.state;
-  m_last_sequence = beat.sequence;
+  m_run_alive = now;
   m_slots = std::max(beat.slots, 1U);
   m_cold_until = now + beat.cold_remaining;
   m_refusing_until = now;
-  if (!same_run) {
-    return had_run ? HeartbeatOutcome::kNewRun : HeartbeatOutcome::kFirstRun;
+  if (verdict == RunVerdict::kReplaced) {
+    return HeartbeatOutcome::kNewRun;
+  }
+  if (verdict == RunVerdict::kFirst) {
+    return HeartbeatOutcome::kFirstRun;
   }
   return changed ? HeartbeatOutcome::kChanged : HeartbeatOutcome::kUnchanged;
 }
 
+void UpstreamLiveness::RecordFlowPacket(base::Millis accepted_at,
+                                        base::Millis now) {
+  m_last_flow_packet = now;
+  if (accepted_at <= m_run_alive) {
+    m_run_alive = now;
+  }
+}
+
 bool UpstreamLiveness::RecordActivity(base::Millis now) {
   m_last_activity = now;
   m_opening_delivered_at = base::kNever;
@@ -149,6 +161,7 @@
 }
 
 void UpstreamLiveness::OnProcessPaused(base::Millis now) {
+  m_runs.OnProcessPaused(now);
   m_last_activity = now;
   m_last_flow_packet = now;
   m_opening_delivered_at = base::kNever;
--- a/filberthollow/decision/flows/upstream_life.h
+++ b/filberthollow/decision/flows/upstream_life.h
@@ -19,6 +19,7 @@
 #include "filberthollow/base/clock.h"
 #include "filberthollow/base/ids.h"
 #include "filberthollow/decision/flows/packet_messages.h"
+#include "filberthollow/decision/flows/upstream_runs.h"
 
 namespace filberthollow::decision::flows {
 
@@ -33,7 +34,7 @@
   kRepeated,       // late or repeated, and says what is in effect anyway
   kOtherUpstream,  // names an upstream that this agent does not serve
   kStale,          // a newer heartbeat of the same run has been processed
-  kEarlierRun,     // from a run that started before the current one
+  kEarlierRun,     // see RunVerdict::kEarlier
 };
 
 // Returns whether the heartbeat had no effect.
@@ -44,13 +45,6 @@
 // Returns the name of an outcome in logs and metrics.
 std::string_view HeartbeatOutcomeName(HeartbeatOutcome outcome);
 
-// UpstreamRun identifies one run of an upstream.
-struct UpstreamRun {
-  std::string id;            // empty if no run is known
-  base::Millis started{-1};  // calendar time, by the upstream's clock
-  friend bool operator==(const UpstreamRun&, const UpstreamRun&) = default;
-};
-
 // LivenessChange is the outcome of a tick.
 struct LivenessChange {
   bool became_silent = false;
@@ -114,10 +108,10 @@
   // Records that the upstream has sent something. Returns whether it was silent
   // until now.
   bool RecordActivity(base::Millis now);
-  // Records that the upstream has sent a packet of a flow that it holds.
-  // Bounced packets do not count: the host of an upstream that is down bounces
-  // all.
-  void RecordFlowPacket(base::Millis now) { m_last_flow_packet = now; }
+  // Records that the upstream has sent a packet of a flow that it holds and
+  // accepted at `accepted_at`. Bounced packets do not count: the host of an
+  // upstream that is down bounces all.
+  void RecordFlowPacket(base::Millis accepted_at, base::Millis now);
   // Records that an opening packet was delivered to the upstream, which must
   // answer it within kOpenTimeout.
   void RecordOpeningDelivered(base::Millis now);
@@ -135,7 +129,10 @@
   void OnProcessPaused(base::Millis now);
 
   UpstreamState state() const { return m_state; }
-  const UpstreamRun& current_run() const { return m_run; }
+  const UpstreamRun& current_run() const { return m_runs.current(); }
+  // Returns when the run before the current one was last known to be alive. All
+  // flows that the upstream had accepted by then have ended with that run.
+  base::Millis previous_run_alive() const { return m_previous_run_alive; }
   // Returns a hash that identifies the current run.
   uint64_t run() const;
   // Returns how many requests the upstream processes concurrently; at least 1.
@@ -178,8 +175,7 @@
   const base::Millis m_absent_after;
 
   UpstreamState m_state = UpstreamState::kUnknown;
-  UpstreamRun m_run;
-  uint64_t m_last_sequence = 0;
+  UpstreamRuns m_runs;
   bool m_observed_from_start = false;
   uint32_t m_slots = 1;
   base::Millis m_cold_until{0};
@@ -189,6 +185,11 @@
   // When RecordFlowPacket() was called last, or the start or the last pause of
   // this process.
   base::Millis m_last_flow_packet;
+  // When the current run last sent a heartbeat, or a packet of a flow that was
+  // accepted before this time. A flow that was accepted later may be one of a
+  // run that has not been heard yet.
+  base::Millis m_run_alive;
+  base::Millis m_previous_run_alive;
   // Delivery time of the first unanswered opening packet, or kNever.
   base::Millis m_opening_delivered_at{base::kNever};
   base::Millis m_refusing_until{INT64_MIN / 4};
--- a/filberthollow/platform/heartbeats_fleet_test.py
+++ b/filberthollow/platform/heartbeats_fleet_test.py
@@ -11,8 +11,10 @@
 sys.path.insert(0, str(ROOT / "filberthollow/testing"))
 
 from fleet import events_of, wait_until  # noqa: E402
-from platform_fleet import ACK, OPEN, System  # noqa: E402
+from platform_fleet import ACK, OPEN, RESET, System  # noqa: E402
 
+CLOCK_STEP_MS = 2400
+ACKNOWLEDGE_SECONDS = 5
 REMOVED = object()
 # Changes to a valid heartbeat that make it one of another writer.
 FOREIGN_FIELDS = (
@@ -87,6 +89,39 @@
         ignored = events_of(self.system.logs(), "heartbeat_ignored")
         self.assertEqual(len(refused) + len(ignored), len(FOREIGN_FIELDS))
 
+    # Guards against an upstream that is started again after the clock of its
+    # host was set back, and gets new flows after its draining was acknowledged.
+    def test_upstream_drains_after_clock_was_set_back(self):
+        port, accepted = self.open_flow_in_use()
+        second = self.system.restart_upstream(
+            self.upstream, "i-again", self.upstream.start_ms - CLOCK_STEP_MS)
+        self.assertEqual(self.system.caller.send_request(
+            self.balancer, port, accepted, b"lost").flags, RESET)
+        port, accepted = self.system.open_flow_at(self.balancer, second)
+        second.state = "draining"
+        wait_until(lambda: second.send_heartbeat() == 200, ACKNOWLEDGE_SECONDS,
+                   "the draining is acknowledged")
+        for _ in range(5):
+            self.assertEqual(self.system.caller.open(self.balancer)[1].flags,
+                             RESET)
+        self.assert_flow_is_served(port, accepted, b"kept")
+        self.assertEqual(len(events_of(self.system.logs(), "upstream_run")), 2)
+
+    # Guards against a late heartbeat of a run that has ended.
+    def test_late_heartbeat_of_ended_run_changes_nothing(self):
+        late = dict(self.upstream.heartbeat(), sequence=1000)
+        second = self.system.restart_upstream(
+            self.upstream, self.upstream.identifier,
+            int(time.time() * 1000))
+        port, accepted = self.system.open_flow_at(self.balancer, second)
+        self.assertEqual(second.send_heartbeat(), 200)
+        self.assert_flow_is_served(port, accepted, b"before the heartbeat")
+        for sequence, state in ((1000, "ready"), (1001, "draining")):
+            self.assertEqual(second.send_heartbeat(json.dumps(
+                dict(late, state=state, sequence=sequence))), 503)
+            self.assert_flow_is_served(port, accepted, state.encode())
+        self.assertTrue(self.opens_flow())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/filberthollow/platform/platform_fleet.py
+++ b/filberthollow/platform/platform_fleet.py
@@ -83,14 +83,15 @@
     upstreams apart.
     """
 
-    def __init__(self, host, service, first_seq):
+    def __init__(self, host, service, first_seq, identifier=None,
+                 start_ms=None):
         self.host = host
         self.service = service
         self.first_seq = first_seq
         self.state = "ready"
         self.sequence = 0
-        self.identifier = f"i-{first_seq}"
-        self.start_ms = int(time.time() * 1000)
+        self.identifier = identifier or f"i-{first_seq}"
+        self.start_ms = start_ms or int(time.time() * 1000)
         self.flows = set()
         self.opened = 0
         self.requests = []
@@ -350,6 +351,15 @@
         self.upstreams.append(Upstream(host, "desk", 10_000_000 * (number + 1)))
         return self.upstreams[-1]
 
+    def restart_upstream(self, upstream, identifier, start_ms):
+        """Ends an upstream as a crash does and starts it again in place."""
+        upstream.stop()
+        self.upstreams.remove(upstream)
+        self.upstreams.append(Upstream(
+            upstream.host, upstream.service, upstream.first_seq + 1_000_000,
+            identifier, start_ms))
+        return self.upstreams[-1]
+
     def ready(self, host):
         try:
             return http(f"{host}:{PORTS['ready']}",
