--- a/filberthollow/decision/flows/packet_messages.h
+++ b/filberthollow/decision/flows/packet_messages.h
@@ -31,7 +31,9 @@
   kGone,      // has terminated, or the agent has no upstream
 };
 
-// UpstreamHeartbeat is a heartbeat from an upstream to its agent.
+// UpstreamHeartbeat is a heartbeat from an upstream to its agent. In the state
+// kGone, which announces the end of a run, only `id` and `state` are always
+// set; `started` and `sequence` are 0 if the upstream did not state them.
 struct UpstreamHeartbeat {
   std::string id;
   std::string service;
--- a/filberthollow/decision/flows/upstream_gate_life_test.cc
+++ b/filberthollow/decision/flows/upstream_gate_life_test.cc
@@ -111,6 +111,36 @@
   BOOST_TEST(gate.flows() == 1U);
 }
 
+// Guards against a DELETE of an earlier run that arrives late: the open flows
+// of the run that had started under the same identifier were reset.
+BOOST_FIXTURE_TEST_CASE(LateEndOfAnEarlierRunResetsNoFlow, Fixture) {
+  OpenFlow();
+  UpstreamHeartbeat end = MakeHeartbeat(9, UpstreamState::kGone);
+  end.started = Millis(500);
+  BOOST_TEST((gate.OnHeartbeat(end, now, actions) ==
+              HeartbeatOutcome::kOtherUpstream));
+  GateActions seen = AdvanceTime(UpstreamLiveness::kShutdownGrace * 2);
+  BOOST_TEST(ActionsOfType<ResetCaller>(seen).empty());
+  BOOST_TEST((gate.Report(now).state == UpstreamState::kReady));
+}
+
+// An upstream that sends packets has not exited, whatever was announced.
+BOOST_FIXTURE_TEST_CASE(FlowsAreKeptWhileUpstreamSendsPackets, Fixture) {
+  OpenFlow();
+  DeliverHeartbeat({.id = MakeHeartbeat(1).id, .state = UpstreamState::kGone});
+  for (int packet = 0; packet < 10; ++packet) {
+    FromUpstream(
+        testing::UpstreamData(testing::kUpstreamInitialSequence + 1, 9));
+    BOOST_TEST(
+        ActionsOfType<ResetCaller>(
+            AdvanceTime(UpstreamLiveness::kShutdownGrace - testing::kTickStep))
+            .empty());
+  }
+  BOOST_TEST(
+      ActionsOfType<ResetCaller>(AdvanceTime(UpstreamLiveness::kShutdownGrace))
+          .size() == 1U);
+}
+
 // A heartbeat that repeats what is in effect may be acknowledged; one that says
 // something else may not.
 BOOST_FIXTURE_TEST_CASE(LateReadyDoesNotEndDraining, Fixture) {
--- a/filberthollow/decision/flows/upstream_life.cc
+++ b/filberthollow/decision/flows/upstream_life.cc
@@ -48,8 +48,10 @@
 HeartbeatOutcome UpstreamLiveness::OnHeartbeat(const UpstreamHeartbeat& beat,
                                                base::Millis now) {
   if (beat.state == UpstreamState::kGone) {
-    if (beat.id != m_runs.current().id) {
-      return HeartbeatOutcome::kOtherUpstream;
+    RunVerdict verdict = m_runs.OnEnd(beat.id, beat.started, beat.sequence);
+    if (verdict != RunVerdict::kCurrent) {
+      return verdict == RunVerdict::kStale ? HeartbeatOutcome::kStale
+                                           : HeartbeatOutcome::kOtherUpstream;
     }
     if (m_state == UpstreamState::kGone) {
       return HeartbeatOutcome::kRepeated;
@@ -74,8 +76,8 @@
     m_observed_from_start =
         verdict == RunVerdict::kReplaced || beat.sequence <= 1;
     m_previous_run_alive = m_run_alive;
-    m_shutdown_announced_at = base::kNever;
   }
+  m_shutdown_announced_at = base::kNever;
   bool changed = m_state != beat.state || m_silent || IsRefusing(now);
   m_state = beat.state;
   m_run_alive = now;
@@ -131,7 +133,8 @@
                                         base::Millis now) {
   LivenessChange change;
   if (m_state == UpstreamState::kGone &&
-      now - m_shutdown_announced_at >= kShutdownGrace) {
+      now - m_shutdown_announced_at >= kShutdownGrace &&
+      now - m_last_flow_packet >= kShutdownGrace) {
     m_shutdown_announced_at = base::kNever;
     change.shutdown_completed = true;
   }
--- a/filberthollow/decision/flows/upstream_life.h
+++ b/filberthollow/decision/flows/upstream_life.h
@@ -83,7 +83,8 @@
   // the upstream is silent or has not answered in time.
   static constexpr base::Millis kHealthCheckInterval{300};
   // How long an upstream may take to exit after it has announced its shutdown.
-  // Until then, packets that it sent may still be in transit.
+  // Until then, packets that it sent may still be in transit. An upstream that
+  // has sent a packet within this time has not exited.
   static constexpr base::Millis kShutdownGrace{500};
   // How long the upstream is offered no new flow after it has bounced an
   // opening packet, unless a heartbeat arrives first. A host whose upstream is
--- a/filberthollow/decision/flows/upstream_runs.cc
+++ b/filberthollow/decision/flows/upstream_runs.cc
@@ -11,7 +11,7 @@
     SetCurrent(run, sequence, now);
     return RunVerdict::kFirst;
   }
-  if (run == m_current) {
+  if (run == m_current && !m_end_announced) {
     if (sequence <= m_last_sequence) {
       return RunVerdict::kStale;
     }
@@ -20,7 +20,7 @@
     m_contender.reset();
     return RunVerdict::kCurrent;
   }
-  if (run.started >= m_current.started && !HasEnded(run)) {
+  if (run != m_current && run.started >= m_current.started && !HasEnded(run)) {
     SetCurrent(run, sequence, now);
     return RunVerdict::kReplaced;
   }
@@ -44,10 +44,32 @@
       now - m_last_heard < m_interval * kMissedHeartbeats) {
     return RunVerdict::kEarlier;
   }
+  if (run == m_current) {
+    // The announcement of its end was one of another run with its identifier.
+    m_last_sequence = sequence;
+    m_last_heard = now;
+    m_end_announced = false;
+    m_contender.reset();
+    return RunVerdict::kCurrent;
+  }
   SetCurrent(run, sequence, now);
   return RunVerdict::kReplaced;
 }
 
+RunVerdict UpstreamRuns::OnEnd(const std::string& id,
+                               base::Millis started,
+                               uint64_t sequence) {
+  bool other_start = started != base::Millis(0) && started != m_current.started;
+  if (id != m_current.id || other_start) {
+    return RunVerdict::kEarlier;
+  }
+  if (sequence != 0 && sequence <= m_last_sequence) {
+    return RunVerdict::kStale;
+  }
+  m_end_announced = true;
+  return RunVerdict::kCurrent;
+}
+
 void UpstreamRuns::SetCurrent(const UpstreamRun& run,
                               uint64_t sequence,
                               base::Millis now) {
@@ -60,6 +82,7 @@
   }
   m_current = run;
   m_last_sequence = sequence;
+  m_end_announced = false;
   m_last_heard = now;
   m_contender.reset();
 }
--- a/filberthollow/decision/flows/upstream_runs.h
+++ b/filberthollow/decision/flows/upstream_runs.h
@@ -57,17 +57,21 @@
   RunVerdict OnHeartbeat(const UpstreamRun& run,
                          uint64_t sequence,
                          base::Millis now);
+  // Processes the announcement that the run `id` ends. `started` and `sequence`
+  // are 0 if they are not known. Returns kCurrent if it is from the current
+  // run, and kStale or kEarlier if it is late.
+  RunVerdict OnEnd(const std::string& id,
+                   base::Millis started,
+                   uint64_t sequence);
   // Call this after the agent's own process was paused: it could not receive
   // the heartbeats of the current run meanwhile.
   void OnProcessPaused(base::Millis now);
 
   const UpstreamRun& current() const { return m_current; }
-  // Returns the sequence number of the newest heartbeat of the current run.
-  uint64_t last_sequence() const { return m_last_sequence; }
 
  private:
   // A run that may have replaced the current one although it appears to have
-  // started earlier.
+  // started earlier, or to have ended.
   struct Contender {
     UpstreamRun run;
     uint64_t last_sequence = 0;
@@ -83,6 +87,7 @@
   const base::Millis m_interval;
   UpstreamRun m_current;
   uint64_t m_last_sequence = 0;
+  bool m_end_announced = false;  // of the current run
   // When the current run was heard last, or the end of the last pause.
   base::Millis m_last_heard;
   std::optional<Contender> m_contender;
--- a/filberthollow/decision/flows/upstream_runs_test.cc
+++ b/filberthollow/decision/flows/upstream_runs_test.cc
@@ -88,6 +88,33 @@
   BOOST_TEST((runs.current() == kLaterRun));
 }
 
+// Guards against an announcement of an earlier run that arrives late: it ended
+// the run that had started under the same identifier.
+BOOST_FIXTURE_TEST_CASE(LateEndOfAnEarlierRunDoesNotEndTheCurrentOne, Fixture) {
+  const UpstreamRun second{kEarlierRun.id, Millis(5000)};
+  Beat(kEarlierRun, 5);
+  Beat(second, 3);
+  BOOST_TEST(
+      (runs.OnEnd(second.id, kEarlierRun.started, 6) == RunVerdict::kEarlier));
+  BOOST_TEST((runs.OnEnd("x", Millis(0), 0) == RunVerdict::kEarlier));
+  BOOST_TEST((runs.OnEnd(second.id, second.started, 3) == RunVerdict::kStale));
+  BOOST_TEST((Beat(second, 4) == RunVerdict::kCurrent));
+  BOOST_TEST(
+      (runs.OnEnd(second.id, second.started, 5) == RunVerdict::kCurrent));
+}
+
+// A late heartbeat does not undo the end of its run, but a run that keeps
+// sending heartbeats has not ended.
+BOOST_FIXTURE_TEST_CASE(OnlyRepeatedHeartbeatsUndoTheEndOfTheirRun, Fixture) {
+  Beat(kLaterRun, 5);
+  runs.OnEnd(kLaterRun.id, Millis(0), 0);
+  BOOST_TEST((Beat(kLaterRun, 6) == RunVerdict::kEarlier));
+  Wait(kInterval);
+  BOOST_TEST((Beat(kLaterRun, 7) == RunVerdict::kEarlier));
+  Wait(kInterval);
+  BOOST_TEST((Beat(kLaterRun, 8) == RunVerdict::kCurrent));
+}
+
 // A run that keeps sending heartbeats stays the current one, whatever late
 // heartbeats of earlier runs arrive between them.
 RC_BOOST_FIXTURE_PROP(LivingRunStaysCurrent, Fixture, ()) {
--- a/filberthollow/net/http_server.cc
+++ b/filberthollow/net/http_server.cc
@@ -154,10 +154,8 @@
     slot->connection = new Connection;
     slot->connection->request = ReadHead(wsi);
     lws_set_timeout(wsi, PENDING_TIMEOUT_HTTP_CONTENT, kIdleTimeoutSeconds);
-    bool has_body = slot->connection->request.method == "POST" ||
-                    slot->connection->request.method == "PUT";
     std::string length = HeaderByToken(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
-    if (has_body && !length.empty() && length != "0") {
+    if (!length.empty() && length != "0") {
       return 0;
     }
     return Handle(wsi, slot->connection);
--- a/filberthollow/net/http_test.cc
+++ b/filberthollow/net/http_test.cc
@@ -71,6 +71,13 @@
   BOOST_TEST(result.body == "POST /p/q 2 r7 hello");
 }
 
+// Guards against taking the body of a DELETE request for the next request.
+BOOST_FIXTURE_TEST_CASE(ReadsTheBodyOfADeleteRequest, Fixture) {
+  HttpResult result = Call({.method = "DELETE", .path = "/p", .body = "hello"});
+  BOOST_TEST(result.kind == HttpResult::kAnswered);
+  BOOST_TEST(result.body == "DELETE /p   hello");
+}
+
 BOOST_FIXTURE_TEST_CASE(ReadsALargeResponse, Fixture) {
   HttpResult result = Call({.path = "/large", .max_response_bytes = 4 << 20});
   BOOST_TEST(result.kind == HttpResult::kAnswered);
--- a/filberthollow/platform/announcement.cc
+++ b/filberthollow/platform/announcement.cc
@@ -50,6 +50,10 @@
     return base::Millis(static_cast<int64_t>(
         std::clamp(value, 0.0, static_cast<double>(kMaxDuration.count()))));
   }
+  // Returns 0 if the member is missing.
+  int64_t OptionalWholeNumber(const char* name) {
+    return m_object.contains(name) ? WholeNumber(name) : 0;
+  }
   base::Address Address(const char* name) {
     std::string text = Text(name);
     auto address = base::Address::Parse(text);
@@ -121,6 +125,27 @@
   return heartbeat;
 }
 
+// Parses the announcement that a run of an upstream ends. Its body may be
+// empty.
+base::Result<UpstreamHeartbeat> ParseEnd(std::string id,
+                                         const std::string& body) {
+  UpstreamHeartbeat end{.id = std::move(id), .state = UpstreamState::kGone};
+  if (body.empty()) {
+    return end;
+  }
+  json fields = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (!fields.is_object()) {
+    return HeartbeatError("body", "expected a JSON object");
+  }
+  FieldReader reader(fields);
+  end.started = base::Millis(reader.OptionalWholeNumber("born"));
+  end.sequence = static_cast<uint64_t>(reader.OptionalWholeNumber("sequence"));
+  if (reader.error()) {
+    return *reader.error();
+  }
+  return end;
+}
+
 }  // namespace
 
 base::Result<UpstreamHeartbeat> ReadHeartbeat(
@@ -133,8 +158,7 @@
     return HeartbeatError("path", "no identifier");
   }
   if (request.method == "DELETE") {
-    return UpstreamHeartbeat{.id = std::move(id),
-                             .state = UpstreamState::kGone};
+    return ParseEnd(std::move(id), request.body);
   }
   if (request.method != "PUT") {
     return HeartbeatError("method", request.method);
--- a/filberthollow/platform/announcement.h
+++ b/filberthollow/platform/announcement.h
@@ -16,7 +16,8 @@
 namespace filberthollow::platform {
 
 // ReadHeartbeat parses a heartbeat of an upstream. A DELETE request yields a
-// heartbeat in which only `id` and the state, kGone, are set.
+// heartbeat in which only `id` and the state, kGone, are set, besides `started`
+// and `sequence` if its body has them.
 // Fails if the path or the method is another one, the body is not valid JSON,
 // any field of a heartbeat is missing or has another type, or the state is
 // unknown. Such a heartbeat names no upstream, whatever its other fields say.
--- a/filberthollow/platform/heartbeats_fleet_test.py
+++ b/filberthollow/platform/heartbeats_fleet_test.py
@@ -122,6 +122,21 @@
             self.assert_flow_is_served(port, accepted, state.encode())
         self.assertTrue(self.opens_flow())
 
+    # Guards against a DELETE of an earlier run that arrives late and resets the
+    # flows of the run that has started under the same identifier.
+    def test_late_delete_of_earlier_run_resets_no_flow(self):
+        late = {"born": self.upstream.start_ms, "sequence": 1000}
+        second = self.system.restart_upstream(
+            self.upstream, self.upstream.identifier, int(time.time() * 1000))
+        port, accepted = self.system.open_flow_at(self.balancer, second)
+        self.assertEqual(second.send_heartbeat(), 200)
+        self.assertEqual(second.send_heartbeat(json.dumps(late),
+                                               method="DELETE"), 404)
+        for number in range(4):  # beyond the time that an upstream has to exit
+            time.sleep(0.25)
+            self.assert_flow_is_served(port, accepted, f"{number}".encode())
+        self.assertTrue(self.opens_flow())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/filberthollow/platform/platform_test.cc
+++ b/filberthollow/platform/platform_test.cc
@@ -140,6 +140,21 @@
   BOOST_TEST(heartbeat->id == "i-7");
 }
 
+BOOST_AUTO_TEST_CASE(DeleteRequestMayStateTheRun) {
+  auto end = ReadHeartbeat({.method = "DELETE",
+                            .path = "/filberthollow/instances/i-7",
+                            .body = R"({"born":1700000000123,"sequence":9})"});
+  BOOST_REQUIRE(end);
+  BOOST_TEST((end->started == base::Millis(1700000000123)));
+  BOOST_TEST(end->sequence == 9U);
+  for (const char* body : {"{", "[]", R"({"born":"1"})", R"({"born":-1})",
+                           R"({"sequence":true})"}) {
+    BOOST_TEST(!ReadHeartbeat({.method = "DELETE",
+                               .path = "/filberthollow/instances/i-7",
+                               .body = body}));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ConvertsOperatorConfig) {
   auto snapshot = ParseOperatorConfig(
       R"({"version":7,
