--- a/filberthollow/platform/announcement.cc
+++ b/filberthollow/platform/announcement.cc
@@ -17,7 +17,7 @@
 
 constexpr std::string_view kInstancesPath = "/filberthollow/instances/";
 constexpr std::string_view kReadinessPath = "/filberthollow/readiness";
-constexpr base::Millis kMaxDuration{24 * 60 * 60 * 1000};
+constexpr base::Millis kMaxDuration{86'400'000};  // one day
 
 base::Error HeartbeatError(std::string field, std::string detail) {
   return base::MakeError(std::errc::bad_message, "read heartbeat",
