--- a/filberthollow/platform/heartbeats_fleet_test.py
+++ b/filberthollow/platform/heartbeats_fleet_test.py
@@ -107,6 +107,16 @@
         self.assert_flow_is_served(port, accepted, b"kept")
         self.assertEqual(len(events_of(self.system.logs(), "upstream_run")), 2)
 
+    # Callers that wait for an answer send nothing that could be bounced.
+    def test_restart_in_place_resets_flows_of_ended_run_at_once(self):
+        port, _ = self.open_flow_in_use()
+        self.assertEqual(self.upstream.send_heartbeat(), 200)
+        second = self.system.restart_upstream(
+            self.upstream, "i-again", int(time.time() * 1000))
+        self.assertEqual(second.send_heartbeat(), 200)
+        self.assertEqual(self.system.caller.receive(port, 0.5).flags, RESET)
+        self.assertTrue(self.opens_flow())
+
     # Guards against a late heartbeat of a run that has ended.
     def test_late_heartbeat_of_ended_run_changes_nothing(self):
         late = dict(self.upstream.heartbeat(), sequence=1000)
