A repeated heartbeat of another run is not acknowledged

Found by reading the diff: a copy of a heartbeat of a run that is not the current one was compared with the state of the current run and got 200 if they were equal. Test DrainingOfAnotherRunIsNotAcknowledged, seen failing before.

--- a/filberthollow/decision/flows/upstream_gate_life_test.cc
+++ b/filberthollow/decision/flows/upstream_gate_life_test.cc
@@ -141,6 +141,16 @@
           .size() == 1U);
 }
 
+// What is in effect is the state of the current run, not that of another one.
+BOOST_FIXTURE_TEST_CASE(DrainingOfAnotherRunIsNotAcknowledged, Fixture) {
+  DeliverHeartbeat(MakeHeartbeat(5, UpstreamState::kDraining, kBeforeMs));
+  for (int copy = 0; copy < 2; ++copy) {
+    BOOST_TEST(
+        (gate.OnHeartbeat(MakeHeartbeat(1, UpstreamState::kDraining, kAfterMs),
+                          now, actions) == HeartbeatOutcome::kEarlierRun));
+  }
+}
+
 // A heartbeat that repeats what is in effect may be acknowledged; one that says
 // something else may not.
 BOOST_FIXTURE_TEST_CASE(LateReadyDoesNotEndDraining, Fixture) {
--- a/filberthollow/decision/flows/upstream_runs.cc
+++ b/filberthollow/decision/flows/upstream_runs.cc
@@ -35,7 +35,7 @@
     return RunVerdict::kEarlier;
   }
   if (sequence <= m_contender->last_sequence) {
-    return RunVerdict::kStale;
+    return RunVerdict::kEarlier;
   }
   m_contender->last_sequence = sequence;
   // Late heartbeats may arrive together. Those of a living run keep their
--- a/filberthollow/decision/flows/upstream_runs.h
+++ b/filberthollow/decision/flows/upstream_runs.h
@@ -35,7 +35,7 @@
   kFirst,     // the first run known, which is now the current one
   kReplaced,  // another run, which is now the current one
   // The following ones must have no effect.
-  kStale,    // a newer heartbeat of this run has been processed
+  kStale,    // a newer heartbeat of the current run has been processed
   kEarlier,  // a run that has ended, or is not known to have replaced the
              // current one
 };
