--- a/filberthollow/config/config.cc
+++ b/filberthollow/config/config.cc
@@ -221,6 +221,7 @@
   updated.tree = std::move(snapshot->tree);
   updated.routes = std::move(snapshot->routes);
   updated.health_paths = std::move(snapshot->health_paths);
+  updated.cold_limits = std::move(snapshot->cold_limits);
   change.snapshot = true;
   return base::Done{};
 }
--- a/filberthollow/config/config.h
+++ b/filberthollow/config/config.h
@@ -35,6 +35,7 @@
   settings::Tree tree;
   std::vector<settings::Route> routes;
   std::map<std::string, std::string> health_paths;  // by service name
+  settings::ColdLimits cold_limits;
   friend bool operator==(const ConfigSnapshot&,
                          const ConfigSnapshot&) = default;
 };
--- a/filberthollow/decision/flows/packet_messages.h
+++ b/filberthollow/decision/flows/packet_messages.h
@@ -17,6 +17,7 @@
 #include "filberthollow/base/clock.h"
 #include "filberthollow/base/ids.h"
 #include "filberthollow/decision/load/upstream_load.h"
+#include "filberthollow/decision/membership/evacuations.h"
 #include "filberthollow/flow/packet.h"
 #include "filberthollow/flow/reason.h"
 
@@ -72,6 +73,7 @@
   // flows, so missing reports do not mean that the flows are lost.
   bool leaving = false;
   ReportConfirmation confirmation{};
+  membership::EvacuationList evacuations;  // the newest that the agent has
   friend bool operator==(const UpstreamReport&,
                          const UpstreamReport&) = default;
 };
@@ -87,6 +89,7 @@
   base::Address newcomer;
   // To an agent: whether the balancer has received a report of it.
   bool confirms_report = false;
+  membership::EvacuationList evacuations;  // the newest that the balancer has
   friend bool operator==(const BalancerHello&, const BalancerHello&) = default;
 };
 
--- a/filberthollow/decision/flows/route_table.cc
+++ b/filberthollow/decision/flows/route_table.cc
@@ -40,7 +40,8 @@
 
 RouteTable::RouteTable(uint64_t revision,
                        const settings::Tree& tree,
-                       const std::vector<settings::Route>& routes)
+                       const std::vector<settings::Route>& routes,
+                       const settings::ColdLimits& cold_limits)
     : m_revision(revision),
       m_idle_timeout(int64_t{settings::Resolve(tree, {}).settings.idle_flow_s} *
                      kMillisPerSecond) {
@@ -48,11 +49,15 @@
     m_connection_limits[base::ServiceIdOf(name)] =
         settings::Resolve(tree, {name, "", ""}).settings.connections;
   }
+  for (const auto& [name, limit] : cold_limits) {
+    m_cold_limits[base::ServiceIdOf(name)] = limit;
+  }
   for (const settings::Route& route : routes) {
     CompiledRoute& compiled = m_routes[route.address];
     compiled = {.idempotent = route.idempotent,
                 .priority = route.priority,
-                .latency_goal = base::Millis(route.latency_goal_ms)};
+                .latency_goal = base::Millis(route.latency_goal_ms),
+                .timeout = base::Millis(route.timeout_ms)};
     for (const settings::RouteShare& share : route.shares) {
       compiled.shares.push_back(
           {base::ServiceIdOf(share.service), share.weight});
@@ -72,4 +77,9 @@
                                             : found->second;
 }
 
+settings::ColdLimit RouteTable::ColdLimitOf(base::ServiceId service) const {
+  auto found = m_cold_limits.find(service);
+  return found == m_cold_limits.end() ? settings::ColdLimit{} : found->second;
+}
+
 }  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/flows/route_table.h
+++ b/filberthollow/decision/flows/route_table.h
@@ -30,6 +30,7 @@
   bool idempotent = false;
   uint32_t priority = 0;
   base::Millis latency_goal;
+  base::Millis timeout;  // of callers; 0 if it is not known
   std::vector<CompiledShare> shares;
   friend bool operator==(const CompiledRoute&, const CompiledRoute&) = default;
 
@@ -48,7 +49,8 @@
   RouteTable() = default;
   RouteTable(uint64_t revision,
              const settings::Tree& tree,
-             const std::vector<settings::Route>& routes);
+             const std::vector<settings::Route>& routes,
+             const settings::ColdLimits& cold_limits = {});
 
   // Find returns the route with this address, or null if there is none or it
   // has no shares. The pointer is valid as long as the table.
@@ -56,6 +58,9 @@
   // Returns how many flows an upstream of the service may hold; the default of
   // the settings if the service is unknown.
   uint32_t ConnectionLimit(base::ServiceId service) const;
+  // Returns the limit on the new flows of a cold upstream of the service; its
+  // rate is 0 if there is none.
+  settings::ColdLimit ColdLimitOf(base::ServiceId service) const;
   // Returns the idle time after which a flow may be forgotten; 0 means no
   // limit, as in a default-constructed table.
   base::Millis idle_timeout() const { return m_idle_timeout; }
@@ -69,6 +74,7 @@
   base::Millis m_idle_timeout{0};
   std::unordered_map<base::Address, CompiledRoute, base::AddressHash> m_routes;
   std::unordered_map<base::ServiceId, uint32_t> m_connection_limits;
+  std::unordered_map<base::ServiceId, settings::ColdLimit> m_cold_limits;
 };
 
 }  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/load/upstream_load.h
+++ b/filberthollow/decision/load/upstream_load.h
@@ -8,6 +8,9 @@
 
 namespace filberthollow::decision::load {
 
+// Value of UpstreamLoad::openings_left if the upstream isn't limited.
+inline constexpr uint16_t kUnlimitedOpenings = UINT16_MAX;
+
 // UpstreamLoad is the load of an upstream. Its agent counts requests and flows;
 // `slots` and `cold_ms` come from the heartbeats of the upstream.
 struct UpstreamLoad {
@@ -17,6 +20,12 @@
   // Mean of `in_flight` over the last second, times 100.
   uint16_t in_flight_mean = 0;
   uint16_t cold_ms = 0;  // time until the upstream works at full speed
+  // New flows that the upstream may take now because it is cold.
+  uint16_t openings_left = kUnlimitedOpenings;
+  // How old `work_us` is, saturated.
+  uint16_t work_age_ms = 0;
+  // Mean time in microseconds that a slot works on a request; 0 if unknown.
+  uint32_t work_us = 0;
   friend bool operator==(const UpstreamLoad&, const UpstreamLoad&) = default;
 };
 
--- a/filberthollow/flow/reason.cc
+++ b/filberthollow/flow/reason.cc
@@ -72,6 +72,10 @@
      "no upstream of the service accepted the new flow in time"},
     {kUpstreamRefused, kRefused, "upstream_refused",
      "the upstream has just rejected a new flow: it is full or down"},
+    {kEvacuated, kRefused, "evacuated",
+     "the data centre of the upstream is evacuated"},
+    {kColdLimit, kRefused, "cold_limit",
+     "the upstream has just started and takes no more new flows for now"},
 }};
 
 constexpr std::array<std::string_view, 3> kKindNames{"refused", "dropped",
--- a/filberthollow/flow/reason.h
+++ b/filberthollow/flow/reason.h
@@ -60,6 +60,8 @@
   kNoSuchFlow,
   kNoAgent,
   kUpstreamRefused,
+  kEvacuated,
+  kColdLimit,
 };
 
 // ReasonKind tells what a reason is given for.
@@ -73,7 +75,7 @@
   std::string_view meaning;
 };
 
-inline constexpr size_t kReasonCount = 36;
+inline constexpr size_t kReasonCount = 38;
 
 // ReasonTable returns the rows of all reasons, indexed by Reason.
 const std::array<ReasonRow, kReasonCount>& ReasonTable();
--- a/filberthollow/passthrough/node_process.cc
+++ b/filberthollow/passthrough/node_process.cc
@@ -33,7 +33,7 @@
                     PacketsMessage(RoutesChanged{
                         std::make_shared<const decision::flows::RouteTable>(
                             snapshot->revision, snapshot->tree,
-                            snapshot->routes)}));
+                            snapshot->routes, snapshot->cold_limits)}));
                 auto health = snapshot->health_paths.find(service);
                 if (health != snapshot->health_paths.end()) {
                   registry.Post(
--- a/filberthollow/platform/http_object_store.cc
+++ b/filberthollow/platform/http_object_store.cc
@@ -23,10 +23,11 @@
   std::string_view prefix;
   std::string_view kind;
 };
-constexpr std::array<KindMapping, 3> kKindMappings{{
+constexpr std::array<KindMapping, 4> kKindMappings{{
     {"config/", "filberthollow-config"},
     {"bootstrap/", "filberthollow-bootstrap"},
     {"operator/", "config"},
+    {kEvacuationPrefix, "evacuations"},
 }};
 
 const KindMapping& KindMappingFor(std::string_view name) {
--- a/filberthollow/platform/node_settings.cc
+++ b/filberthollow/platform/node_settings.cc
@@ -99,6 +99,21 @@
     return base::Millis(ms);
   }
 
+  // Parses a number from 0, which may have a fraction.
+  double Decimal(std::string_view name, double fallback) {
+    std::string text = Text(name);
+    if (text.empty()) {
+      return fallback;
+    }
+    double value = 0;
+    auto [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || value < 0) {
+      RecordError(name, text, "a number from 0");
+    }
+    return value;
+  }
+
   // Parses a positive whole number.
   uint32_t Count(std::string_view name, uint32_t fallback) {
     std::string text = Text(name);
@@ -184,6 +199,9 @@
       .platform = fields.RequiredAddress("platform.address"),
       .platform_reads_per_second =
           fields.Count("platform.readsPerS", kDefaultReadsPerSecond),
+      .evacuations = !fields.Text("bounds.evacuationMs").empty(),
+      .cold_overshoot = fields.Decimal("bounds.coldOvershoot", 1),
+      .cold_slack = fields.Decimal("bounds.coldSlack", 0),
       .seeds = PeerSeeds(fields, peer_port),
       .first_start = fields.Text("bootstrap") == "true",
       .stop_grace = fields.Seconds("bounds.graceS", kDefaultStopGrace),
--- a/filberthollow/platform/object_store.h
+++ b/filberthollow/platform/object_store.h
@@ -30,6 +30,9 @@
 // settings/routes.h.
 inline constexpr const char* kSnapshotObject = "config/tree/snapshot";
 inline constexpr const char* kBootstrapPrefix = "bootstrap/";
+// Below kEvacuationPrefix, the operator names the data centres that are
+// evacuated.
+inline constexpr const char* kEvacuationPrefix = "evacuations/";
 
 // A store that comes back from a copy has lost its last changes and gives out
 // their revisions again. Each time a new generation of the store begins.
--- a/filberthollow/platform/operator_config.cc
+++ b/filberthollow/platform/operator_config.cc
@@ -62,6 +62,13 @@
     if (service.contains("healthPath")) {
       snapshot.health_paths[name] = service["healthPath"].get<std::string>();
     }
+    double cold_rate = service.value("coldPerS", 0.0);
+    if (cold_rate > 0) {
+      snapshot.cold_limits[name] = {
+          .requests_per_second = cold_rate,
+          .duration = base::Millis(static_cast<int64_t>(
+              service.value("coldStartS", 0.0) * kMillisPerSecond))};
+    }
     if (service.contains("connectionLimit")) {
       node.overrides.connections = ClampToFieldRange(
           "connections", service["connectionLimit"].get<int64_t>());
@@ -79,6 +86,7 @@
          .priority = route.value("priority", 0U),
          .latency_goal_ms =
              route.value("aimMs", settings::kDefaultLatencyGoalMs),
+         .timeout_ms = route.value("timeoutMs", 0U),
          .shares = ParseShares(route)});
   }
   return snapshot;
--- a/filberthollow/settings/node_settings.h
+++ b/filberthollow/settings/node_settings.h
@@ -28,6 +28,12 @@
   base::Address platform;
   // The rate of reads that the platform's object API grants to the whole fleet.
   uint32_t platform_reads_per_second = 2000;
+  // Whether the platform's operator may evacuate data centres.
+  bool evacuations = false;
+  // A cold upstream may get this many times its configured rate, plus
+  // `cold_slack`, of new flows in any second; see settings::ColdLimit.
+  double cold_overshoot = 1;
+  double cold_slack = 0;
   // Peer addresses of some balancers, which may be outdated.
   std::vector<base::Address> seeds;
   // The whole system is starting for the first time.
--- a/filberthollow/settings/routes.cc
+++ b/filberthollow/settings/routes.cc
@@ -16,6 +16,8 @@
 constexpr uint32_t kMaxWeight = 1'000'000;
 constexpr uint32_t kMaxPriority = 1000;
 constexpr uint32_t kMaxLatencyGoalMs = 3'600'000;
+constexpr uint32_t kMaxTimeoutMs = 3'600'000;
+constexpr uint32_t kMaxColdDurationMs = 3'600'000;
 
 base::Error NotAList(const std::string& path, const json& found) {
   return base::MakeError(
@@ -60,7 +62,8 @@
       .address = reader.AddressOf("address"),
       .priority = reader.Number("priority", 0, kMaxPriority, 0),
       .latency_goal_ms = reader.Number("latency_goal_ms", 1, kMaxLatencyGoalMs,
-                                       kDefaultLatencyGoalMs)};
+                                       kDefaultLatencyGoalMs),
+      .timeout_ms = reader.Number("timeout_ms", 0, kMaxTimeoutMs, 0)};
   const json* idempotent = reader.Raw("idempotent");
   const json* shares = reader.Raw("shares");
   if (idempotent == nullptr || !idempotent->is_boolean()) {
@@ -81,6 +84,35 @@
   return route;
 }
 
+base::Result<ColdLimit> ReadColdLimit(const json& value,
+                                      const std::string& path) {
+  ObjectReader reader(value, path);
+  const json* rate = reader.Raw("requests_per_second");
+  if (rate == nullptr || !rate->is_number() || rate->get<double>() < 0) {
+    reader.Fail("requests_per_second", "no number from 0", "a number from 0");
+  }
+  ColdLimit limit{.duration = base::Millis(
+                      reader.Number("duration_ms", 0, kMaxColdDurationMs, 0))};
+  if (auto error = reader.Finish()) {
+    return *error;
+  }
+  limit.requests_per_second = rate->get<double>();
+  return limit;
+}
+
+base::Result<ColdLimits> ReadColdLimits(const json& value,
+                                        const std::string& path) {
+  ColdLimits limits;
+  for (const auto& [service, limit] : value.items()) {
+    auto read = ReadColdLimit(limit, path + "." + service);
+    if (!read) {
+      return read.error();
+    }
+    limits[service] = *read;
+  }
+  return limits;
+}
+
 json RouteJson(const Route& route) {
   json shares = json::array();
   for (const RouteShare& share : route.shares) {
@@ -91,6 +123,7 @@
           {"idempotent", route.idempotent},
           {"priority", route.priority},
           {"latency_goal_ms", route.latency_goal_ms},
+          {"timeout_ms", route.timeout_ms},
           {"shares", shares}};
 }
 
@@ -130,6 +163,15 @@
     }
     parsed->erase("health_paths");
   }
+  base::Result<ColdLimits> cold_limits{ColdLimits{}};
+  if (parsed->is_object() && parsed->contains("cold_limits")) {
+    cold_limits = ReadColdLimits((*parsed)["cold_limits"],
+                                 std::string(source) + ".cold_limits");
+    parsed->erase("cold_limits");
+  }
+  if (!cold_limits) {
+    return cold_limits.error();
+  }
   auto tree = TreeFromJson(*parsed, source);
   if (!tree) {
     return tree.error();
@@ -140,7 +182,7 @@
     return read.error();
   }
   return Snapshot{std::move(*tree), std::move(*read), std::move(health_paths),
-                  version};
+                  version, std::move(*cold_limits)};
 }
 
 std::string SnapshotText(const Snapshot& snapshot) {
@@ -150,6 +192,11 @@
     out["routes"].push_back(RouteJson(route));
   }
   out["health_paths"] = snapshot.health_paths;
+  for (const auto& [service, limit] : snapshot.cold_limits) {
+    out["cold_limits"][service] = {
+        {"requests_per_second", limit.requests_per_second},
+        {"duration_ms", limit.duration.count()}};
+  }
   if (snapshot.version > 0) {
     out["version"] = snapshot.version;
   }
--- a/filberthollow/settings/routes.h
+++ b/filberthollow/settings/routes.h
@@ -9,9 +9,11 @@
 //   {"version": 12, "settings": {...}, "services": {...},
 //    "routes": [{"name": "desk", "address": "198.18.0.1:443",
 //                "idempotent": false, "priority": 1,
-//                "latency_goal_ms": 250,
+//                "latency_goal_ms": 250, "timeout_ms": 2000,
 //                "shares": [{"service": "permit-desk", "weight": 100}]}],
-//    "health_paths": {"permit-desk": "/health"}}
+//    "health_paths": {"permit-desk": "/health"},
+//    "cold_limits": {"permit-desk": {"requests_per_second": 12,
+//                                    "duration_ms": 2000}}}
 //
 //   Result<Snapshot> snapshot = ParseSnapshot(text, "config/tree/snapshot");
 #ifndef FILBERTHOLLOW_SETTINGS_ROUTES_H_
@@ -23,6 +25,7 @@
 #include <vector>
 
 #include "filberthollow/base/address.h"
+#include "filberthollow/base/clock.h"
 #include "filberthollow/base/error.h"
 #include "filberthollow/settings/tree.h"
 
@@ -51,10 +54,20 @@
   // Intended time from request to answer. The queue of a busy upstream uses it
   // to detect overload.
   uint32_t latency_goal_ms = kDefaultLatencyGoalMs;
+  // Time after which callers give up a request; 0 if it is not known.
+  uint32_t timeout_ms = 0;
   std::vector<RouteShare> shares;
   friend auto operator<=>(const Route&, const Route&) = default;
 };
 
+// Limit on the new flows of an upstream that has just started.
+struct ColdLimit {
+  double requests_per_second = 0;  // 0: no limit
+  base::Millis duration;           // after the start of the upstream
+  friend bool operator==(const ColdLimit&, const ColdLimit&) = default;
+};
+using ColdLimits = std::map<std::string, ColdLimit>;  // by service name
+
 // The complete configuration except for the keys.
 struct Snapshot {
   Tree tree;
@@ -64,6 +77,7 @@
   // Number that the author has given to this version, which grows with each
   // change; 0 if there is none.
   uint64_t version = 0;
+  ColdLimits cold_limits;
   friend bool operator==(const Snapshot&, const Snapshot&) = default;
 };
 
--- a/filberthollow/wire/packet_codec.cc
+++ b/filberthollow/wire/packet_codec.cc
@@ -19,6 +19,9 @@
 using decision::flows::Located;
 using decision::flows::UpstreamReport;
 using decision::load::UpstreamLoad;
+using decision::membership::EvacuationList;
+using decision::membership::kMaxDataCentreBytes;
+using decision::membership::kMaxEvacuations;
 
 using Builder = generated::PacketMessage::Builder;
 
@@ -50,6 +53,9 @@
   out.setOpen(load.open_flows);
   out.setBusyMean(load.in_flight_mean);
   out.setColdMs(load.cold_ms);
+  out.setOpeningsLeft(load.openings_left);
+  out.setWorkAgeMs(load.work_age_ms);
+  out.setWorkUs(load.work_us);
 }
 
 UpstreamLoad Read(generated::UpstreamLoad::Reader in) {
@@ -57,7 +63,39 @@
           .in_flight = in.getBusy(),
           .open_flows = in.getOpen(),
           .in_flight_mean = in.getBusyMean(),
-          .cold_ms = in.getColdMs()};
+          .cold_ms = in.getColdMs(),
+          .openings_left = in.getOpeningsLeft(),
+          .work_age_ms = in.getWorkAgeMs(),
+          .work_us = in.getWorkUs()};
+}
+
+// Returns how many names of the list are sent.
+uint32_t SentNames(const EvacuationList& list) {
+  return static_cast<uint32_t>(
+      std::min(list.data_centres.size(), kMaxEvacuations));
+}
+
+void Write(const EvacuationList& list, generated::EvacuationList::Builder out) {
+  out.setRevision(list.revision);
+  uint32_t count = SentNames(list);
+  auto names = out.initDataCentres(count);
+  for (uint32_t i = 0; i < count; ++i) {
+    names.set(i, list.data_centres[i]);
+  }
+}
+
+bool Read(generated::EvacuationList::Reader in, EvacuationList& out) {
+  out.revision = in.getRevision();
+  if (in.getDataCentres().size() > kMaxEvacuations) {
+    return false;
+  }
+  for (auto name : in.getDataCentres()) {
+    if (name.size() > kMaxDataCentreBytes) {
+      return false;
+    }
+    out.data_centres.emplace_back(name.begin(), name.size());
+  }
+  return true;
 }
 
 void Write(const Forward& m, Builder message) {
@@ -157,6 +195,9 @@
       std::clamp<int64_t>(m.interval.count(), 0, UINT16_MAX)));
   out.setLeaving(m.leaving);
   out.setConfirmation(static_cast<uint8_t>(m.confirmation));
+  if (m.evacuations.revision > 0) {
+    Write(m.evacuations, out.initEvacuations());
+  }
 }
 
 bool Read(generated::UpstreamReport::Reader in, PacketMessage& out) {
@@ -167,7 +208,7 @@
               decision::flows::ReportConfirmation::kReceived)) {
     return false;
   }
-  out = UpstreamReport{
+  UpstreamReport report{
       .service = base::ServiceId{in.getService()},
       .data_centre = in.getDataCentre(),
       .run = in.getRun(),
@@ -179,7 +220,9 @@
       .leaving = in.getLeaving(),
       .confirmation = static_cast<decision::flows::ReportConfirmation>(
           in.getConfirmation())};
-  return true;
+  bool valid = Read(in.getEvacuations(), report.evacuations);
+  out = std::move(report);
+  return valid;
 }
 
 void Write(const BalancerHello& m, Builder message) {
@@ -190,6 +233,9 @@
   out.setNewcomerIp(m.newcomer.ip);
   out.setNewcomerPort(m.newcomer.port);
   out.setConfirmsReport(m.confirms_report);
+  if (m.evacuations.revision > 0) {
+    Write(m.evacuations, out.initEvacuations());
+  }
   auto count =
       static_cast<uint32_t>(std::min(m.balancers.size(), kMaxHelloBalancers));
   auto ips = out.initBalancerIps(count);
@@ -214,8 +260,9 @@
   for (uint32_t i = 0; i < ips.size(); ++i) {
     hello.balancers.push_back({ips[i], ports[i]});
   }
+  bool valid = Read(in.getEvacuations(), hello.evacuations);
   out = std::move(hello);
-  return true;
+  return valid;
 }
 
 void Write(const KnownAgents& m, Builder message) {
--- a/filberthollow/wire/packet_codec_test.cc
+++ b/filberthollow/wire/packet_codec_test.cc
@@ -12,7 +12,10 @@
                                              .in_flight = 3,
                                              .open_flows = 70,
                                              .in_flight_mean = 250,
-                                             .cold_ms = 900};
+                                             .cold_ms = 900,
+                                             .openings_left = 7,
+                                             .work_age_ms = 350,
+                                             .work_us = 41'000};
 
 std::vector<PacketMessage> Samples() {
   return {
@@ -36,13 +39,15 @@
           .revision = 11,
           .interval = base::Millis(200),
           .leaving = true,
-          .confirmation = decision::flows::ReportConfirmation::kReceived},
+          .confirmation = decision::flows::ReportConfirmation::kReceived,
+          .evacuations = {12, {"north-1", "north-2"}}},
       decision::flows::BalancerHello{.revision = 11,
                                      .run = 12,
                                      .leaving = true,
                                      .balancers = {{1, 2}, {3, 4}},
                                      .newcomer = {5, 6},
-                                     .confirms_report = true},
+                                     .confirms_report = true,
+                                     .evacuations = {13, {"north-1"}}},
       decision::flows::KnownAgents{
           {{{1, 2}, base::ServiceId{7}, true, base::Millis(300)},
            {{3, 4}, base::ServiceId{8}, false, base::Millis(0)}}}};
--- a/filberthollow/wire/packets.capnp
+++ b/filberthollow/wire/packets.capnp
@@ -18,6 +18,16 @@
   open @2 :UInt16;
   busyMean @3 :UInt16;
   coldMs @4 :UInt16;
+  # The default, for senders of earlier releases, means "no limit".
+  openingsLeft @5 :UInt16 = 65535;
+  workAgeMs @6 :UInt16;
+  workUs @7 :UInt32;
+}
+
+# The evacuated data centres as of a revision of the store; 0: not known.
+struct EvacuationList {
+  revision @0 :UInt64;
+  dataCentres @1 :List(Text);
 }
 
 struct Forward {
@@ -71,6 +81,7 @@
   load @7 :UpstreamLoad;
   leaving @8 :Bool;
   confirmation @9 :UInt8;
+  evacuations @10 :EvacuationList;
 }
 
 struct BalancerHello {
@@ -82,6 +93,7 @@
   newcomerIp @5 :UInt32;
   newcomerPort @6 :UInt16;
   confirmsReport @7 :Bool;
+  evacuations @8 :EvacuationList;
 }
 
 struct KnownAgent {
