Place no new flows in evacuated data centres

Lists of evacuated data centres are ordered by the revision of the store that they reflect. They pass in hellos, and in reports to balancers that have an older one. A balancer leaves out agents in evacuated data centres and refuses a new flow at once (evacuated) if the service has upstreams nowhere else; the agent is the last check. A balancer that has just started holds new flows back for at most 1 s until it has a list. The status page shows the progress.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -86,6 +86,14 @@
   return agents;
 }
 
+std::vector<UpstreamReport> FlowRouter::Reports() const {
+  std::vector<UpstreamReport> reports;
+  for (const auto& [address, agent] : m_agents) {
+    reports.push_back(agent.report);
+  }
+  return reports;
+}
+
 bool FlowRouter::OnReport(const UpstreamReport& report,
                           base::Address agent,
                           base::Millis now) {
@@ -217,7 +225,8 @@
                            base::Millis now,
                            RouterActions& actions) {
   bool may_wait = offer.tried.empty() && now - m_started < kDiscoveryPeriod;
-  if (!HasRoutes() && may_wait) {
+  bool must_wait = m_evacuation_filter.MustWait(HasRoutes(), now);
+  if (offer.tried.empty() && (must_wait || (!HasRoutes() && may_wait))) {
     return true;
   }
   const CompiledRoute* route = m_routes->Find(ends.route);
@@ -230,6 +239,7 @@
   if (route != nullptr && offer.tried.size() < kMaxOffers) {
     candidates = CandidatesFor(route->ServiceFor(ends), offer, now);
   }
+  bool evacuated = m_evacuation_filter.RemoveEvacuated(candidates);
   std::optional<size_t> best =
       m_choice.Choose(candidates, {m_data_centre, flow::FlowEndsHash{}(ends)});
   if (!best && may_wait) {
@@ -241,7 +251,8 @@
     if (offer.any_unanswered) {
       actions.emplace_back(DropPacket{Reason::kNoAgent});
     } else {
-      actions.emplace_back(ResetCaller{ends, 0, Reason::kNoAgent});
+      actions.emplace_back(ResetCaller{
+          ends, 0, evacuated ? Reason::kEvacuated : Reason::kNoAgent});
     }
     return false;
   }
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -33,6 +33,7 @@
 #include <variant>
 #include <vector>
 
+#include "filberthollow/decision/flows/evacuation_filter.h"
 #include "filberthollow/decision/flows/gate_actions.h"
 #include "filberthollow/decision/flows/locate_queue.h"
 #include "filberthollow/decision/flows/packet_messages.h"
@@ -220,6 +221,8 @@
   void SetRoutes(std::shared_ptr<const RouteTable> routes) {
     m_routes = std::move(routes);
   }
+  // Returns the filter that decides which data centres get new flows.
+  EvacuationFilter& evacuation_filter() { return m_evacuation_filter; }
   // Returns the revision of the configuration; 0 if there is none yet.
   uint64_t revision() const { return m_routes->revision(); }
 
@@ -270,6 +273,8 @@
   bool IsReady(base::Millis now) const;
   // Returns the known agents.
   std::vector<base::Address> Agents() const;
+  // Returns the last reports of the known agents.
+  std::vector<UpstreamReport> Reports() const;
   // Returns the agents to tell another balancer of, in messages of
   // kMaxKnownAgents at most.
   std::vector<KnownAgents> ListAgents(base::Millis now,
@@ -486,6 +491,7 @@
   ByFlow<Offer> m_offers;
   ByFlow<Search> m_searches;
   LocateQueue m_questions;
+  EvacuationFilter m_evacuation_filter;
   base::Millis m_last_tick;
   // Longest report interval of the agents that don't repeat their first report.
   base::Millis m_longest_interval{0};
--- a/filberthollow/decision/flows/packet_messages.h
+++ b/filberthollow/decision/flows/packet_messages.h
@@ -73,7 +73,10 @@
   // flows, so missing reports do not mean that the flows are lost.
   bool leaving = false;
   ReportConfirmation confirmation{};
-  membership::EvacuationList evacuations;  // the newest that the agent has
+  // Revision of the list of evacuations that the agent has.
+  uint64_t evacuation_revision = 0;
+  // That list, if the balancer has an older one; otherwise empty.
+  membership::EvacuationList evacuations;
   friend bool operator==(const UpstreamReport&,
                          const UpstreamReport&) = default;
 };
--- a/filberthollow/decision/flows/upstream_gate.cc
+++ b/filberthollow/decision/flows/upstream_gate.cc
@@ -31,6 +31,15 @@
       m_queue(*options.queue_order),
       m_meter(now) {}
 
+void UpstreamGate::SetEvacuated(bool evacuated,
+                                base::Millis /*now*/,
+                                GateActions& actions) {
+  if (evacuated != m_evacuated) {
+    m_evacuated = evacuated;
+    actions.emplace_back(ReportNow{});
+  }
+}
+
 bool UpstreamGate::KnowsAllFlows(base::Millis now) const {
   return m_options.first_start || m_liveness.observed_from_start() ||
          m_liveness.IsAbsent(now) || now - m_started > m_options.flow_lifetime;
@@ -144,6 +153,9 @@
   if (m_liveness.state() != UpstreamState::kReady || m_leaving) {
     return Reason::kDraining;
   }
+  if (m_evacuated) {
+    return Reason::kEvacuated;
+  }
   if (m_liveness.silent()) {
     return Reason::kUpstreamSilent;
   }
--- a/filberthollow/decision/flows/upstream_gate.h
+++ b/filberthollow/decision/flows/upstream_gate.h
@@ -90,6 +90,11 @@
   // since they would be cut off; open flows continue.
   void Leave() { m_leaving = true; }
 
+  // Sets whether the data centre of the upstream is evacuated. New flows are
+  // refused meanwhile; open flows continue.
+  void SetEvacuated(bool evacuated, base::Millis now, GateActions& actions);
+  bool evacuated() const { return m_evacuated; }
+
   // Processes a caller's packet that `balancer` forwarded; `header` is the
   // header of `forward.packet`.
   void OnForward(const Forward& forward,
@@ -301,6 +306,7 @@
   base::Millis m_next_sweep{0};
   bool m_offers_pending = false;
   bool m_leaving = false;
+  bool m_evacuated = false;
 };
 
 }  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/membership/evacuations.cc
+++ b/filberthollow/decision/membership/evacuations.cc
@@ -12,6 +12,9 @@
   }
   bool changed = !IsKnown() || list.data_centres != m_list.data_centres;
   m_list = list;
+  if (changed) {
+    m_changed_revision = list.revision;
+  }
   m_hashes.clear();
   for (const std::string& name : list.data_centres) {
     m_hashes.push_back(base::HashBytes(name));
--- a/filberthollow/decision/membership/evacuations.h
+++ b/filberthollow/decision/membership/evacuations.h
@@ -45,11 +45,15 @@
   // Returns whether the data centre with this hash of its name
   // (base::HashBytes) is evacuated.
   bool ContainsHash(uint64_t data_centre) const;
+  // Returns the revision of the list by which the names last changed. Whoever
+  // has a list of this revision or a later one knows these names.
+  uint64_t changed_revision() const { return m_changed_revision; }
   bool IsKnown() const { return m_list.revision > 0; }
   const EvacuationList& list() const { return m_list; }
 
  private:
   EvacuationList m_list;
+  uint64_t m_changed_revision = 0;
   std::vector<uint64_t> m_hashes;  // of the names in m_list
 };
 
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -41,6 +41,7 @@
                      const config::Adapter& adapter,
                      AgentSockets sockets)
     : PacketsTask(clock, registry, settings, adapter, std::move(sockets.peers)),
+      m_data_centre(settings.data_centre),
       m_upstream(settings.upstream),
       m_outbound(std::move(sockets.outbound)),
       m_gate(GateOptionsFrom(settings), clock.Now()) {}
@@ -77,6 +78,18 @@
   ReportToLiveBalancers();
 }
 
+void AgentTask::OnEvacuationsChanged() {
+  bool evacuated = m_evacuations.Contains(m_data_centre);
+  if (evacuated != m_gate.evacuated()) {
+    m_gate.SetEvacuated(evacuated, Now(), m_actions);
+    m_metrics.Set("own_data_centre_evacuated", evacuated ? 1 : 0);
+    base::Log(Level::kInfo, "own_data_centre_evacuated",
+              {{"evacuated", evacuated ? "yes" : "no"},
+               {"revision", m_evacuations.list().revision}});
+  }
+  ApplyActions();
+}
+
 void AgentTask::Handle(const BalancersFound& m) {
   std::vector<base::Address> added;
   for (base::Address balancer : m.balancers) {
@@ -219,6 +232,8 @@
 void AgentTask::HandlePeerMessage(const decision::flows::BalancerHello& m,
                                   base::Address from) {
   NotifyIfNewerRevision(m.revision, m_gate.revision(), from);
+  m_balancer_evacuations[from] = m.evacuations.revision;
+  UpdateEvacuations(m.evacuations, from);
   bool has_started = m_balancers.OnHello(from, m.run, m.leaving, Now());
   if (m.confirms_report) {
     m_first_reports.OnConfirmed(from, Now());
@@ -372,6 +387,9 @@
 
 void AgentTask::OnDiscoveryTimer() {
   m_balancers.Forget(Now());
+  std::erase_if(m_balancer_evacuations, [this](const auto& entry) {
+    return !m_balancers.IsLive(entry.first, Now());
+  });
   SendReports(m_balancers.Silent(Now()));
   if (m_balancers.Live(Now()).empty()) {
     Post(config::kConfigService,
@@ -395,6 +413,12 @@
     report.confirmation = wanted
                               ? decision::flows::ReportConfirmation::kWanted
                               : decision::flows::ReportConfirmation::kReceived;
+    report.evacuation_revision = m_evacuations.list().revision;
+    auto balancer_has = m_balancer_evacuations.find(balancer);
+    bool is_behind = balancer_has != m_balancer_evacuations.end() &&
+                     balancer_has->second < report.evacuation_revision;
+    report.evacuations = is_behind ? m_evacuations.list()
+                                   : decision::membership::EvacuationList{};
     SendToPeer(report, balancer);
   }
 }
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -62,9 +62,12 @@
   base::Millis TickDelay() const override { return m_gate.TickDelay(); }
   void OnPeerMessage(const wire::PacketMessage& message,
                      base::Address from) override;
+  void OnEvacuationsChanged() override;
 
  private:
   void Handle(const RoutesChanged& m);
+  // Only balancers watch the store.
+  void Handle(const EvacuationsChanged& /*m*/) {}
   void Handle(const BalancersFound& m);
   void Handle(const HeartbeatReceived& m);
   void Handle(const HeartbeatMalformed& m);
@@ -127,12 +130,15 @@
   void SendReports(const std::vector<base::Address>& balancers);
   void ReportToLiveBalancers() { SendReports(m_balancers.Live(Now())); }
 
+  const std::string m_data_centre;
   const base::Address m_upstream;
   std::shared_ptr<net::UdpSocket> m_outbound;
   decision::flows::UpstreamGate m_gate;
   decision::flows::GateActions m_actions;
   decision::membership::FirstReports m_first_reports;
   base::Millis m_discovery_interval = kFirstDiscoveryInterval;
+  // Revision of the list of evacuations in the last hello of each balancer.
+  std::map<base::Address, uint64_t> m_balancer_evacuations;
   // The state that LogUpstreamState() has last seen.
   decision::flows::UpstreamState m_logged_state{};
 };
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -7,6 +7,7 @@
 
 #include "filberthollow/base/log.h"
 #include "filberthollow/config/config_messages.h"
+#include "filberthollow/decision/flows/evacuation_progress.h"
 
 namespace filberthollow::passthrough {
 
@@ -20,7 +21,11 @@
                            BalancerSockets sockets)
     : PacketsTask(clock, registry, settings, adapter, std::move(sockets.peers)),
       m_callers(std::move(sockets.callers)),
-      m_router(base::HashBytes(settings.data_centre), clock.Now()) {}
+      m_router(base::HashBytes(settings.data_centre), clock.Now()) {
+  if (settings.evacuations) {
+    m_router.evacuation_filter().AwaitList();
+  }
+}
 
 void BalancerTask::OnStart() {
   Watch(*m_callers,
@@ -39,6 +44,11 @@
   NotifyAssignedPeers();
 }
 
+void BalancerTask::OnEvacuationsChanged() {
+  m_router.evacuation_filter().Set(m_evacuations);
+  NotifyAssignedPeers();
+}
+
 void BalancerTask::Handle(const BalancersFound& m) {
   for (base::Address balancer : m.balancers) {
     if (m_balancers.Add(balancer, Now())) {
@@ -58,11 +68,26 @@
   m_metrics.Set("packets_wakeups", loop().wakeups());
   nlohmann::json status{{"revision", m_router.revision()},
                         {"agents", m_router.Agents().size()},
-                        {"balancers", m_balancers.size()}};
+                        {"balancers", m_balancers.size()},
+                        {"evacuations", EvacuationStatus()}};
   m.reply_to->Post(
       {m.query_id, name(), m_metrics.Report(), status.dump(), m_ready});
 }
 
+nlohmann::json BalancerTask::EvacuationStatus() const {
+  nlohmann::json data_centres = nlohmann::json::array();
+  for (const auto& progress :
+       decision::flows::ProgressOf(m_evacuations, m_router.Reports())) {
+    data_centres.push_back({{"name", progress.name},
+                            {"agents", progress.agents},
+                            {"agents_informed", progress.agents_informed},
+                            {"open_flows", progress.open_flows},
+                            {"in_flight", progress.in_flight}});
+  }
+  return {{"revision", m_evacuations.list().revision},
+          {"data_centres", data_centres}};
+}
+
 void BalancerTask::OnCallerDatagram(std::string_view bytes) {
   RecordPacketArrival();
   m_metrics.Add("caller_packets");
@@ -128,8 +153,10 @@
     }
   }
   NotifyIfNewerRevision(m.revision, m_router.revision(), from);
+  UpdateEvacuations(m.evacuations, from);
   auto [hello_at, added] = m_agent_hello_at.try_emplace(from, Now());
-  bool behind = m.revision < m_router.revision();
+  bool behind = m.revision < m_router.revision() ||
+                m.evacuation_revision < m_evacuations.changed_revision();
   bool wants_confirmation =
       m.confirmation == decision::flows::ReportConfirmation::kWanted;
   if (added || behind || wants_confirmation ||
@@ -144,6 +171,7 @@
                                      base::Address from) {
   NotifyIfNewerRevision(m.revision, m_router.revision(), from);
   m_router.OnPeerRevision(m.revision);
+  UpdateEvacuations(m.evacuations, from);
   if (m_balancers.OnHello(from, m.run, m.leaving, Now())) {
     SendHello(from);
     NotifyAssignedPeers(from);  // makes agents report to it immediately
@@ -301,7 +329,8 @@
           .leaving = leaving(),
           .balancers = m_balancers.Advertised(to, Now()),
           .newcomer = newcomer,
-          .confirms_report = m_router.HasReportOf(to)},
+          .confirms_report = m_router.HasReportOf(to),
+          .evacuations = m_evacuations.list()},
       to);
 }
 
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <string_view>
 
@@ -53,9 +54,11 @@
   base::Millis TickDelay() const override { return m_router.TickDelay(); }
   void OnPeerMessage(const wire::PacketMessage& message,
                      base::Address from) override;
+  void OnEvacuationsChanged() override;
 
  private:
   void Handle(const RoutesChanged& m);
+  void Handle(const EvacuationsChanged& m) { UpdateEvacuations(m.list, {}); }
   void Handle(const BalancersFound& m);
   void Handle(const HeartbeatReceived& /*m*/) {}
   void Handle(const HeartbeatMalformed& /*m*/) {}
@@ -63,6 +66,9 @@
   void Handle(const LeaveFleet& m);
   void Handle(const admin::ReportQuery& m);
 
+  // Returns the progress of evacuations for the status page.
+  nlohmann::json EvacuationStatus() const;
+
   void OnCallerDatagram(std::string_view bytes);
   void HandlePeerMessage(const decision::flows::Forward& m, base::Address from);
   void HandlePeerMessage(const decision::flows::Locate& m, base::Address from);
--- a/filberthollow/passthrough/messages.h
+++ b/filberthollow/passthrough/messages.h
@@ -28,6 +28,13 @@
   friend bool operator==(const RoutesChanged&, const RoutesChanged&) = default;
 };
 
+// Carries the evacuated data centres as the store lists them.
+struct EvacuationsChanged {
+  decision::membership::EvacuationList list;
+  friend bool operator==(const EvacuationsChanged&,
+                         const EvacuationsChanged&) = default;
+};
+
 // Carries peer addresses of balancers, which may be outdated.
 struct BalancersFound {
   std::vector<base::Address> balancers;
@@ -63,6 +70,7 @@
 
 // A message to the packets service.
 using PacketsMessage = std::variant<RoutesChanged,
+                                    EvacuationsChanged,
                                     BalancersFound,
                                     HeartbeatReceived,
                                     HeartbeatMalformed,
--- a/filberthollow/passthrough/packets_task.cc
+++ b/filberthollow/passthrough/packets_task.cc
@@ -1,5 +1,8 @@
 #include "filberthollow/passthrough/packets_task.h"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -24,6 +27,7 @@
     : LoopTask(clock, registry, kPacketsService),
       m_balancers(settings.peers),
       m_caller_port(settings.caller_port),
+      m_uses_evacuations(settings.evacuations),
       m_format(*adapter.packet_format),
       m_peers(std::move(peers)) {}
 
@@ -128,6 +132,21 @@
   }
 }
 
+void PacketsTask::UpdateEvacuations(
+    const decision::membership::EvacuationList& list,
+    base::Address from) {
+  if (!m_uses_evacuations || !m_evacuations.Update(list)) {
+    return;
+  }
+  m_metrics.Set("evacuated_data_centres", list.data_centres.size());
+  base::Log(
+      Level::kInfo, "evacuations_changed",
+      {{"revision", list.revision},
+       {"data_centres", fmt::format("{}", fmt::join(list.data_centres, ","))},
+       {"from", from == base::Address{} ? "store" : from.Text()}});
+  OnEvacuationsChanged();
+}
+
 void PacketsTask::StartLeaving() {
   m_leaving_since = Now();
   m_last_packet_at = Now();
--- a/filberthollow/passthrough/packets_task.h
+++ b/filberthollow/passthrough/packets_task.h
@@ -84,6 +84,14 @@
                              uint64_t own_revision,
                              base::Address from);
 
+  // Takes a list of evacuated data centres from a peer, or from the store if
+  // `from` is empty, if it is newer than the own one. Logs it and calls
+  // OnEvacuationsChanged() if other names are on it.
+  void UpdateEvacuations(const decision::membership::EvacuationList& list,
+                         base::Address from);
+  // Called when the names in m_evacuations have changed.
+  virtual void OnEvacuationsChanged() = 0;
+
   // Records the time of the last packet, for StopIfQuiet().
   void RecordPacketArrival() { m_last_packet_at = Now(); }
   // Marks this process as leaving the fleet.
@@ -95,6 +103,8 @@
 
   // Known balancers other than this process.
   decision::membership::BalancerSet m_balancers;
+  // Stays empty where the platform's operator can't evacuate data centres.
+  decision::membership::Evacuations m_evacuations;
   metrics::Metrics m_metrics;
 
  private:
@@ -104,6 +114,7 @@
   void LogBalancerSilences();
 
   const uint16_t m_caller_port;
+  const bool m_uses_evacuations;
   const flow::PacketFormat& m_format;
   std::shared_ptr<net::UdpSocket> m_peers;
   // Time of the next tick, or kNever if none is scheduled.
--- a/filberthollow/wire/packet_codec.cc
+++ b/filberthollow/wire/packet_codec.cc
@@ -195,6 +195,7 @@
       std::clamp<int64_t>(m.interval.count(), 0, UINT16_MAX)));
   out.setLeaving(m.leaving);
   out.setConfirmation(static_cast<uint8_t>(m.confirmation));
+  out.setEvacuationRevision(m.evacuation_revision);
   if (m.evacuations.revision > 0) {
     Write(m.evacuations, out.initEvacuations());
   }
@@ -219,7 +220,8 @@
       .interval = base::Millis(in.getIntervalMs()),
       .leaving = in.getLeaving(),
       .confirmation = static_cast<decision::flows::ReportConfirmation>(
-          in.getConfirmation())};
+          in.getConfirmation()),
+      .evacuation_revision = in.getEvacuationRevision()};
   bool valid = Read(in.getEvacuations(), report.evacuations);
   out = std::move(report);
   return valid;
--- a/filberthollow/wire/packet_codec_test.cc
+++ b/filberthollow/wire/packet_codec_test.cc
@@ -40,6 +40,7 @@
           .interval = base::Millis(200),
           .leaving = true,
           .confirmation = decision::flows::ReportConfirmation::kReceived,
+          .evacuation_revision = 12,
           .evacuations = {12, {"north-1", "north-2"}}},
       decision::flows::BalancerHello{.revision = 11,
                                      .run = 12,
--- a/filberthollow/wire/packets.capnp
+++ b/filberthollow/wire/packets.capnp
@@ -81,7 +81,9 @@
   load @7 :UpstreamLoad;
   leaving @8 :Bool;
   confirmation @9 :UInt8;
+  # The list itself is only sent to a balancer that has an older one.
   evacuations @10 :EvacuationList;
+  evacuationRevision @11 :UInt64;
 }
 
 struct BalancerHello {
