Count the list of evacuations in the pace of hellos

Measured with the codec: a hello that names 15 balancers has 176 bytes and 28 of packet headers, 16 more with an empty list of evacuations and 40 with one name. A report has 120 bytes, 160 with the list.

--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -290,8 +290,10 @@
 }
 
 void BalancerTask::OnHelloTimer() {
+  int64_t hello_bytes =
+      kHelloBytes + (m_evacuations.IsKnown() ? kEvacuationBytes : 0);
   base::Millis interval =
-      PacedInterval(m_balancers.size(), kHelloBytes, kHelloInterval);
+      PacedInterval(m_balancers.size(), hello_bytes, kHelloInterval);
   m_balancers.SetHelloInterval(interval);
   loop().After(interval, [this] { OnHelloTimer(); });
   m_balancers.Forget(Now());
