--- a/filberthollow/passthrough/packets_task.h
+++ b/filberthollow/passthrough/packets_task.h
@@ -30,7 +30,7 @@
   static constexpr int64_t kReportBytes = 150;
   // Size of a hello that names BalancerSet::kMaxAdvertised balancers on the
   // wire, including packet headers.
-  static constexpr int64_t kHelloBytes = 215;
+  static constexpr int64_t kHelloBytes = 204;
   // Size of a list of evacuations with one name in a hello.
   static constexpr int64_t kEvacuationBytes = 40;
 
