The agent enforces the limit on a cold upstream and refuses while evacuated

Change: UpstreamGate asks ColdLimiter last in RefusalReason, counts every delivered opening, copies included, and reports openings_left in each load. The upstream is in doubt after the start or a pause of the agent, a silence, a bounced opening packet or packet of an accepted flow, a heartbeat of a run that is not believed yet, and the end of an evacuation. SetEvacuated refuses new flows with the reason evacuated. The log lines of offers show `cold`, `cold_ms` and `openings_left`.

--- a/filberthollow/decision/flows/gate_actions.h
+++ b/filberthollow/decision/flows/gate_actions.h
@@ -67,6 +67,7 @@
   base::Millis heard_ago;  // time since the upstream was last heard
   base::Millis took;       // time that the upstream took to answer
   load::UpstreamLoad load;
+  bool cold = false;  // the upstream was treated as cold
   friend bool operator==(const OfferDecided&, const OfferDecided&) = default;
 };
 // RequestWaited: a request was queued because all slots of the upstream were
--- a/filberthollow/decision/flows/upstream_gate.cc
+++ b/filberthollow/decision/flows/upstream_gate.cc
@@ -29,7 +29,8 @@
                  now),
       m_last_tick(now),
       m_queue(*options.queue_order),
-      m_meter(now) {}
+      m_meter(now),
+      m_cold_limiter(options.cold_bounds, now) {}
 
 bool UpstreamGate::KnowsAllFlows(base::Millis now) const {
   return m_options.first_start || m_liveness.observed_from_start() ||
@@ -82,7 +83,8 @@
                                     .state = m_liveness.state(),
                                     .heard_ago = m_liveness.HeardAgo(now),
                                     .took = took,
-                                    .load = CurrentLoad(now)});
+                                    .load = CurrentLoad(now),
+                                    .cold = IsCold(now)});
 }
 
 void UpstreamGate::OnLocate(const Locate& locate,
@@ -144,6 +146,9 @@
   if (m_liveness.state() != UpstreamState::kReady || m_leaving) {
     return Reason::kDraining;
   }
+  if (m_evacuated) {
+    return Reason::kEvacuated;
+  }
   if (m_liveness.silent()) {
     return Reason::kUpstreamSilent;
   }
@@ -164,6 +169,9 @@
   if (m_open_flows >= m_routes->ConnectionLimit(m_options.service)) {
     return Reason::kConnectionLimit;
   }
+  if (OpeningsLeft(now) == 0) {
+    return Reason::kColdLimit;
+  }
   return std::nullopt;
 }
 
@@ -197,6 +205,7 @@
     // again when it gets this copy of the opening packet.
     SendAnswer(balancer, ends, Holding::kHeld, {}, "", now, actions);
   }
+  m_cold_limiter.RecordOpening(now);
   actions.emplace_back(DeliverToUpstream{forward.packet});
 }
 
@@ -306,6 +315,7 @@
   FlowEnds ends = header.FromCaller();
   auto found = m_flows.find(ends);
   if (header.AsksToOpen()) {
+    m_cold_doubt.Raise(now);  // the upstream may be restarting
     if (found != m_flows.end() && !found->second.accepted) {
       RefuseOffer(found, Reason::kUpstreamRefused, now, actions);
       if (m_liveness.RecordRefusal(now)) {
@@ -323,6 +333,7 @@
   }
   // The upstream has bounced a packet of a flow in the table: it has restarted
   // and lost the flow.
+  m_cold_doubt.Raise(now);
   bool open = found->second.stage == Stage::kOpen;
   if (open && !header.resets) {
     actions.emplace_back(
@@ -402,6 +413,7 @@
   m_last_tick = now;
   if (was_paused) {
     m_liveness.OnProcessPaused(now);
+    m_cold_doubt.Raise(now);
     return;
   }
   CheckLiveness(now, actions);
@@ -422,7 +434,8 @@
           .in_flight = ClampToUint16(in_flight),
           .open_flows = ClampToUint16(m_open_flows),
           .in_flight_mean = ClampToUint16(mean),
-          .cold_ms = ClampToUint16(m_liveness.ColdTimeLeft(now).count())};
+          .cold_ms = ClampToUint16(m_liveness.ColdTimeLeft(now).count()),
+          .openings_left = OpeningsLeft(now)};
 }
 
 UpstreamState UpstreamGate::ReportedState(base::Millis now) const {
--- a/filberthollow/decision/flows/upstream_gate.h
+++ b/filberthollow/decision/flows/upstream_gate.h
@@ -40,6 +40,7 @@
 #include "filberthollow/decision/flows/route_table.h"
 #include "filberthollow/decision/flows/upstream_life.h"
 #include "filberthollow/decision/load/busy_meter.h"
+#include "filberthollow/decision/load/cold_limit.h"
 #include "filberthollow/decision/load/request_queue.h"
 
 namespace filberthollow::decision::flows {
@@ -56,6 +57,7 @@
   // longer knows all flows that its upstream must hold.
   base::Millis flow_lifetime{60'000};
   base::Millis heartbeat_interval{1000};  // between heartbeats of the upstream
+  load::ColdBounds cold_bounds;
   // Order of the queued requests; must outlive the gate.
   const load::QueueOrder* queue_order = &load::DefaultQueueOrder();
   friend bool operator==(const GateOptions&, const GateOptions&) = default;
@@ -86,6 +88,10 @@
   }
   // Returns the revision of the configuration in force.
   uint64_t revision() const { return m_routes->revision(); }
+  // Tells the gate whether its data centre is evacuated. New flows are refused
+  // while it is; open flows continue. When this ends, the upstream may be cold
+  // since a moment ago.
+  void SetEvacuated(bool evacuated, base::Millis now, GateActions& actions);
   // Prepares for the end of this agent. New flows are refused from now on,
   // since they would be cut off; open flows continue.
   void Leave() { m_leaving = true; }
@@ -193,6 +199,11 @@
   std::optional<flow::Reason> RefusalReason(const Forward& forward,
                                             const flow::PacketHeader& header,
                                             base::Millis now) const;
+  // Returns whether the upstream must be treated as cold.
+  bool IsCold(base::Millis now) const;
+  // Returns how many new flows the upstream may take now because it is cold, or
+  // load::kUnlimitedOpenings.
+  uint16_t OpeningsLeft(base::Millis now) const;
   void OnBouncedPacket(const flow::PacketHeader& header,
                        base::Millis now,
                        GateActions& actions);
@@ -297,10 +308,13 @@
   base::Millis m_last_tick;
   load::RequestQueue m_queue;
   load::InFlightMeter m_meter;
+  load::ColdLimiter m_cold_limiter;
+  load::ColdDoubt m_cold_doubt;
   uint32_t m_open_flows = 0;  // flows that are not closed, including offers
   base::Millis m_next_sweep{0};
   bool m_offers_pending = false;
   bool m_leaving = false;
+  bool m_evacuated = false;
 };
 
 }  // namespace filberthollow::decision::flows
--- a/filberthollow/decision/flows/upstream_gate_life.cc
+++ b/filberthollow/decision/flows/upstream_gate_life.cc
@@ -12,6 +12,10 @@
     m_liveness.OnProcessPaused(now);
   }
   HeartbeatOutcome outcome = m_liveness.OnHeartbeat(beat, now);
+  if (outcome == HeartbeatOutcome::kEarlierRun) {
+    // It may be the living run, if the clock of its host was set back.
+    m_cold_doubt.Raise(now);
+  }
   if (IsIgnored(outcome)) {
     return outcome;
   }
@@ -20,6 +24,7 @@
                actions);
   }
   if (outcome != HeartbeatOutcome::kShutdownAnnounced) {
+    m_cold_doubt.OnHeartbeat(now);
     m_queue.SetSlots(m_liveness.slots());
     RecordUpstreamActivity(now, actions);
   }
@@ -50,6 +55,9 @@
                                  base::Millis heard_ago,
                                  base::Millis now,
                                  GateActions& actions) {
+  if (silent) {
+    m_cold_doubt.Raise(now);  // the upstream may be restarting
+  }
   actions.emplace_back(
       UpstreamSilence{silent, heard_ago, m_liveness.IsOpeningOverdue(now)});
   actions.emplace_back(ReportNow{});
@@ -79,6 +87,37 @@
   }
 }
 
+void UpstreamGate::SetEvacuated(bool evacuated,
+                                base::Millis now,
+                                GateActions& actions) {
+  if (evacuated == m_evacuated) {
+    return;
+  }
+  m_evacuated = evacuated;
+  if (!evacuated) {
+    m_cold_doubt.Raise(now);
+  }
+  actions.emplace_back(ReportNow{});
+}
+
+bool UpstreamGate::IsCold(base::Millis now) const {
+  // After a pause, packets of callers may be read before the heartbeats of a
+  // run that has started meanwhile.
+  return m_liveness.ColdTimeLeft(now) > base::Millis(0) ||
+         m_cold_doubt.holds() || WasPaused(now);
+}
+
+uint16_t UpstreamGate::OpeningsLeft(base::Millis now) const {
+  if (!IsCold(now)) {
+    return load::kUnlimitedOpenings;
+  }
+  std::optional<double> rate;
+  if (m_routes->revision() > 0) {
+    rate = m_routes->ColdLimitOf(m_options.service).requests_per_second;
+  }
+  return m_cold_limiter.OpeningsLeft(rate, now);
+}
+
 void UpstreamGate::CheckLiveness(base::Millis now, GateActions& actions) {
   LivenessChange change = m_liveness.OnTick(m_meter.count() > 0, now);
   if (change.became_silent) {
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -30,7 +30,9 @@
           .data_centre = base::HashBytes(settings.data_centre),
           .first_start = settings.first_start,
           .flow_lifetime = settings.flow_lifetime,
-          .heartbeat_interval = settings.heartbeat_interval};
+          .heartbeat_interval = settings.heartbeat_interval,
+          .cold_bounds = {.overshoot = settings.cold_overshoot,
+                          .slack = settings.cold_slack}};
 }
 
 }  // namespace
@@ -300,6 +302,9 @@
              {"busy", note.load.in_flight},
              {"open", note.load.open_flows},
              {"slots", note.load.slots},
+             {"cold", note.cold ? "yes" : "no"},
+             {"cold_ms", note.load.cold_ms},
+             {"openings_left", note.load.openings_left},
              {"revision", m_gate.revision()}});
 }
 
