Balancers avoid cold upstreams without room and refuse when none has any

Cause: offers that an agent must refuse cost callers a round trip each. Change: decision/load/opening_room removes candidates without openings left, minus the flows placed since their load. If none is left, FlowRouter resets the new flow with cold_limit, unless an earlier offer of it is unanswered. A load older than a second shows nothing: its openings are out of the window, and in a large fleet the next report comes many seconds later. Tested: decision_load_opening_room_test, decision_flows_flow_router_cold_test, decision_flows_flow_router_test, _discovery_test, decision_load_upstream_choice_test.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "filberthollow/decision/load/opening_room.h"
+
 namespace filberthollow::decision::flows {
 namespace {
 
@@ -206,7 +208,8 @@
     if (agent.report.service == service && !tried &&
         AcceptsNewFlows(agent, now)) {
       candidates.push_back({address, agent.report.data_centre,
-                            agent.report.load, agent.placed_since_load});
+                            agent.report.load, agent.placed_since_load,
+                            now - agent.load_reported_at});
     }
   }
   return candidates;
@@ -230,6 +233,8 @@
   if (route != nullptr && offer.tried.size() < kMaxOffers) {
     candidates = CandidatesFor(route->ServiceFor(ends), offer, now);
   }
+  bool no_room =
+      load::RemoveCandidatesWithoutRoom(candidates) || offer.refused_as_cold;
   std::optional<size_t> best =
       m_choice.Choose(candidates, {m_data_centre, flow::FlowEndsHash{}(ends)});
   if (!best && may_wait) {
@@ -238,10 +243,11 @@
   if (!best) {
     // An upstream that has not answered may have accepted the flow. The
     // caller retransmits its packet, and eventually gives up by itself.
+    Reason reason = no_room ? Reason::kColdLimit : Reason::kNoAgent;
     if (offer.any_unanswered) {
-      actions.emplace_back(DropPacket{Reason::kNoAgent});
+      actions.emplace_back(DropPacket{reason});
     } else {
-      actions.emplace_back(ResetCaller{ends, 0, Reason::kNoAgent});
+      actions.emplace_back(ResetCaller{ends, 0, reason});
     }
     return false;
   }
@@ -330,6 +336,9 @@
       // The upstream has the packet and may still accept the flow.
       offer->second.any_unanswered = true;
     }
+    if (current && answer.reason == Reason::kColdLimit) {
+      offer->second.refused_as_cold = true;
+    }
     if (current && !OfferNext(answer.flow, offer->second, now, actions)) {
       m_offers.erase(offer);
     }
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -303,6 +303,7 @@
     std::vector<base::Address> tried;
     // Whether at least one agent or upstream of `tried` has not answered.
     bool any_unanswered = false;
+    bool refused_as_cold = false;  // by at least one agent
   };
   // AgentAnswer is the state of one agent in a search.
   struct AgentAnswer {
--- a/filberthollow/decision/load/upstream_choice.h
+++ b/filberthollow/decision/load/upstream_choice.h
@@ -28,6 +28,7 @@
   uint64_t data_centre = 0;
   UpstreamLoad load;
   uint32_t placed_since_load = 0;  // by this balancer since `load` was reported
+  base::Millis load_age;           // time since `load` was reported
   friend bool operator==(const UpstreamCandidate&,
                          const UpstreamCandidate&) = default;
 };
