--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "filberthollow/decision/load/opening_room.h"
+
 namespace filberthollow::decision::flows {
 namespace {
 
@@ -214,7 +216,8 @@
     if (agent.report.service == service && !tried &&
         AcceptsNewFlows(agent, now)) {
       candidates.push_back({address, agent.report.data_centre,
-                            agent.report.load, agent.placed_since_load});
+                            agent.report.load, agent.placed_since_load,
+                            now - agent.load_reported_at});
     }
   }
   return candidates;
@@ -239,7 +242,13 @@
   if (route != nullptr && offer.tried.size() < kMaxOffers) {
     candidates = CandidatesFor(route->ServiceFor(ends), offer, now);
   }
-  bool evacuated = m_evacuation_filter.RemoveEvacuated(candidates);
+  Reason reason = offer.refusal;
+  if (m_evacuation_filter.RemoveEvacuated(candidates)) {
+    reason = Reason::kEvacuated;
+  }
+  if (load::RemoveCandidatesWithoutRoom(candidates)) {
+    reason = Reason::kColdLimit;
+  }
   std::optional<size_t> best =
       m_choice.Choose(candidates, {m_data_centre, flow::FlowEndsHash{}(ends)});
   if (!best && may_wait) {
@@ -249,10 +258,9 @@
     // An upstream that has not answered may have accepted the flow. The
     // caller retransmits its packet, and eventually gives up by itself.
     if (offer.any_unanswered) {
-      actions.emplace_back(DropPacket{Reason::kNoAgent});
+      actions.emplace_back(DropPacket{reason});
     } else {
-      actions.emplace_back(ResetCaller{
-          ends, 0, evacuated ? Reason::kEvacuated : Reason::kNoAgent});
+      actions.emplace_back(ResetCaller{ends, 0, reason});
     }
     return false;
   }
@@ -341,6 +349,10 @@
       // The upstream has the packet and may still accept the flow.
       offer->second.any_unanswered = true;
     }
+    if (current && (answer.reason == Reason::kColdLimit ||
+                    answer.reason == Reason::kEvacuated)) {
+      offer->second.refusal = answer.reason;
+    }
     if (current && !OfferNext(answer.flow, offer->second, now, actions)) {
       m_offers.erase(offer);
     }
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -308,6 +308,8 @@
     std::vector<base::Address> tried;
     // Whether at least one agent or upstream of `tried` has not answered.
     bool any_unanswered = false;
+    // Why the flow is refused if no upstream is left.
+    flow::Reason refusal = flow::Reason::kNoAgent;
   };
   // AgentAnswer is the state of one agent in a search.
   struct AgentAnswer {
