Operator command: fetch a page of many processes at one time

Cause: queries one after the other add up the timeouts of unreachable processes (5 s each), so a command would take minutes when a data centre with a hundred balancers is cut off. Change: HttpBlockingStore::GetAll, up to 64 exchanges at one time. Get shares its code. It has no unit test, since it needs sockets.

--- a/filberthollow/operator/blocking_store.h
+++ b/filberthollow/operator/blocking_store.h
@@ -5,6 +5,7 @@
 #ifndef FILBERTHOLLOW_OPERATOR_BLOCKING_STORE_H_
 #define FILBERTHOLLOW_OPERATOR_BLOCKING_STORE_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -51,8 +52,20 @@
   // Get fetches `path` from the admin service of a process at `server`. Any
   // status but 200 is an error.
   base::Result<std::string> Get(base::Address server, const std::string& path);
+  // GetAll does the same at several processes, kMaxParallelGets at one time, so
+  // that many unreachable ones don't add up their timeouts. The results are in
+  // the order of `servers`.
+  static constexpr size_t kMaxParallelGets = 64;
+  std::vector<base::Result<std::string>> GetAll(
+      const std::vector<base::Address>& servers,
+      const std::string& path);
 
  private:
+  using PageHandler = std::function<void(const base::Result<std::string>&)>;
+
+  void StartGet(base::Address server,
+                const std::string& path,
+                PageHandler done);
   // Runs the event loop until the callback that `call` received is called.
   template <class T, class Call>
   base::Result<T> Wait(Call call) {
