Subcommand evacuations

Change: a row in the table of subcommands. Balancers are found in the bootstrap entries; since these are in the store, too, admin addresses can be given as arguments, to be used while the store is down. Tested: by hand with the stand-in platform and two HTTP servers that answer /status: exit codes 0 (complete), 5 (one balancer without a list), 1 (store stopped, balancer given by address) and 2 (invalid address).

--- a/filberthollow/operator/commands.cc
+++ b/filberthollow/operator/commands.cc
@@ -19,6 +19,9 @@
 
 // Number of keys that rotation keeps; it removes the oldest one beyond that.
 constexpr size_t kMaxKeys = 3;
+// Number of balancers that can be named on the command line of `evacuations`:
+// all of the largest fleet.
+constexpr size_t kMaxAdminAddresses = 1000;
 
 base::Result<settings::Tree> ReadTreeFile(const std::string& path) {
   auto text = settings::ReadFile(path);
@@ -281,9 +284,8 @@
   }
   fmt::print(
       "\nexit codes: 0 success, 1 failed, 2 invalid command line, 3 invalid "
-      "settings,\n            4 conflict with another operator, 5 differences "
-      "or "
-      "lagging processes\n");
+      "settings,\n            4 conflict with another operator, 5 differences, "
+      "lagging\n            processes or an incomplete evacuation\n");
 }
 
 const Subcommand* FindSubcommand(std::string_view name) {
@@ -361,6 +363,10 @@
        "show how a flow was handled; with -, from log lines on standard "
        "input",
        &internal::RunExplain},
+      {"evacuations", "[ADMIN-ADDRESS ...]", 0, kMaxAdminAddresses, true,
+       "show the evacuated data centres, and whether all balancers and agents "
+       "know; with the addresses of balancers, also asks these",
+       &internal::RunEvacuations},
   };
   return subcommands;
 }
--- a/filberthollow/operator/commands.h
+++ b/filberthollow/operator/commands.h
@@ -23,7 +23,7 @@
 // Another operator changed the same field or the keys concurrently.
 inline constexpr int kExitConflict = 4;
 // `diff` found differences, or `status` found processes that have not received
-// the newest settings revision.
+// the newest settings revision, or `evacuations` an incomplete evacuation.
 inline constexpr int kExitDifferent = 5;
 
 // SubcommandContext holds the global options and the arguments of one
@@ -58,6 +58,7 @@
 // Subcommands that query running processes; defined in report_commands.cc.
 int RunStatus(const SubcommandContext& context);
 int RunExplain(const SubcommandContext& context);
+int RunEvacuations(const SubcommandContext& context);
 // Fail prints an error to standard error and returns the matching exit code.
 int Fail(const base::Error& error);
 }  // namespace internal
--- a/filberthollow/operator/report_commands.cc
+++ b/filberthollow/operator/report_commands.cc
@@ -1,4 +1,5 @@
-// The subcommands status and explain, which query the processes over HTTP.
+// The subcommands status, explain and evacuations, which query the processes
+// over HTTP.
 #include <fmt/format.h>
 
 #include <iostream>
@@ -8,6 +9,7 @@
 
 #include "filberthollow/config/bootstrap.h"
 #include "filberthollow/operator/commands.h"
+#include "filberthollow/operator/evacuation_command.h"
 #include "filberthollow/operator/flow_story.h"
 
 namespace filberthollow::operator_tool::internal {
@@ -180,6 +182,26 @@
   return found;
 }
 
+// Adds the balancers named on the command line, by their address only, unless
+// they are known already.
+base::Result<base::Done> AddNamedBalancers(
+    const std::vector<std::string>& arguments,
+    std::vector<config::BootstrapEntry>& balancers) {
+  for (const std::string& argument : arguments) {
+    auto address = base::Address::Parse(argument);
+    if (!address) {
+      return address.error();
+    }
+    bool known =
+        std::any_of(balancers.begin(), balancers.end(),
+                    [&](const auto& entry) { return entry.admin == *address; });
+    if (!known) {
+      balancers.push_back({.name = argument, .admin = *address});
+    }
+  }
+  return base::Done{};
+}
+
 }  // namespace
 
 int RunStatus(const SubcommandContext& context) {
@@ -243,4 +265,40 @@
   return explanations.empty() ? kExitFailed : kExitSuccess;
 }
 
+int RunEvacuations(const SubcommandContext& context) {
+  EvacuationInputs inputs;
+  std::vector<config::BootstrapEntry> balancers;
+  if (auto objects = context.store->List(platform::kBootstrapPrefix)) {
+    balancers = config::ParseBootstrapList(*objects);
+  } else {
+    Fail(objects.error());
+    inputs.all_balancers_known = false;
+  }
+  if (auto added = AddNamedBalancers(context.arguments, balancers); !added) {
+    Fail(added.error());
+    return kExitUsage;
+  }
+  if (auto objects = context.store->List(platform::kEvacuationPrefix)) {
+    inputs.entries = ReadEvacuationEntries(*objects);
+  } else {
+    Fail(objects.error());
+  }
+  std::vector<base::Address> servers;
+  servers.reserve(balancers.size());
+  for (const config::BootstrapEntry& balancer : balancers) {
+    servers.push_back(balancer.admin);
+  }
+  auto pages = context.store->GetAll(servers, "/status");
+  for (size_t i = 0; i < balancers.size(); ++i) {
+    const config::BootstrapEntry& balancer = balancers[i];
+    inputs.balancers.push_back(
+        MakeBalancerAnswer(balancer.name, balancer.data_centre,
+                           pages[i] ? std::optional(*pages[i]) : std::nullopt));
+  }
+  EvacuationReport report = MakeEvacuationReport(inputs);
+  fmt::print("{}", context.json ? EvacuationReportJson(report) + "\n"
+                                : EvacuationReportText(report));
+  return EvacuationExitCode(report);
+}
+
 }  // namespace filberthollow::operator_tool::internal
