Choice of an upstream by its measured work time

Cause: where one upstream in four runs at 0.55 of the nominal speed and the others at 1.2, the same number of requests per slot means 2.2 times the wait.

Change: LeastWorkChoice multiplies the expected work per slot by a WorkFactor: the work time of the candidate over the median of all candidates of the service, clamped to 0.5 to 4. It is 1 for ratios within 1.6, and for values that are unknown or older than 10 s, the age of the load included. FlowRouter passes the median in ChoiceContext, since strategies see two or three samples only. UpstreamCandidate has a header of its own. flow_offered shows work_us, work_age_ms and usual_work_us.

A mean in place of the median was tried: with half of the upstreams at each speed, it is within 1.6 of both, and all factors are 1.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -206,7 +206,8 @@
     if (agent.report.service == service && !tried &&
         AcceptsNewFlows(agent, now)) {
       candidates.push_back({address, agent.report.data_centre,
-                            agent.report.load, agent.placed_since_load});
+                            agent.report.load, agent.placed_since_load,
+                            now - agent.load_reported_at});
     }
   }
   return candidates;
@@ -230,8 +231,9 @@
   if (route != nullptr && offer.tried.size() < kMaxOffers) {
     candidates = CandidatesFor(route->ServiceFor(ends), offer, now);
   }
-  std::optional<size_t> best =
-      m_choice.Choose(candidates, {m_data_centre, flow::FlowEndsHash{}(ends)});
+  load::ChoiceContext context{m_data_centre, flow::FlowEndsHash{}(ends),
+                              load::UsualWorkUs(candidates)};
+  std::optional<size_t> best = m_choice.Choose(candidates, context);
   if (!best && may_wait) {
     return true;
   }
@@ -249,13 +251,15 @@
   offer.tried.push_back(offer.agent);
   offer.sent_at = now;
   Agent& agent = m_agents[offer.agent];
-  actions.emplace_back(OfferMade{.flow = ends,
-                                 .agent = offer.agent,
-                                 .tries = offer.tried.size(),
-                                 .candidates = candidates.size(),
-                                 .load = agent.report.load,
-                                 .load_age = now - agent.load_reported_at,
-                                 .placed_since_load = agent.placed_since_load});
+  actions.emplace_back(
+      OfferMade{.flow = ends,
+                .agent = offer.agent,
+                .tries = offer.tried.size(),
+                .candidates = candidates.size(),
+                .load = agent.report.load,
+                .load_age = now - agent.load_reported_at,
+                .placed_since_load = agent.placed_since_load,
+                .usual_work_us = static_cast<uint32_t>(context.usual_work_us)});
   ++agent.placed_since_load;
   actions.emplace_back(
       SendForward{offer.agent, NewForward(offer.packet, false)});
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -66,6 +66,7 @@
   base::Millis load_age;    // time since the load was reported
   // Flows placed on the chosen upstream after its load was reported.
   uint32_t placed_since_load = 0;
+  uint32_t usual_work_us = 0;  // of all candidates; 0: unknown
   friend bool operator==(const OfferMade&, const OfferMade&) = default;
 };
 // OfferAccepted: an upstream has accepted the flow.
--- a/filberthollow/decision/load/upstream_choice.cc
+++ b/filberthollow/decision/load/upstream_choice.cc
@@ -24,13 +24,14 @@
 
 double ScoreOf(const UpstreamCandidate& candidate,
                double in_flight_per_flow,
+               double work_factor,
                uint64_t data_centre) {
   double running = candidate.load.in_flight;
   double expected = candidate.load.open_flows * in_flight_per_flow;
   double work = (running + expected) / 2 + candidate.placed_since_load;
   double cold = candidate.load.cold_ms > 0 ? LeastWorkChoice::kColdFactor : 1.0;
   double work_per_slot =
-      work * cold / std::max<double>(candidate.load.slots, 1);
+      work * cold * work_factor / std::max<double>(candidate.load.slots, 1);
   return candidate.data_centre == data_centre
              ? work_per_slot
              : work_per_slot + LeastWorkChoice::kRemotePenalty;
@@ -80,8 +81,10 @@
   std::optional<size_t> best;
   std::pair<double, uint64_t> best_rank;
   for (size_t i = 0; i < candidates.size(); ++i) {
+    double work_factor = m_work_factor.Of(candidates[i], context.usual_work_us);
     std::pair<double, uint64_t> rank{
-        ScoreOf(candidates[i], in_flight_per_flow, context.data_centre),
+        ScoreOf(candidates[i], in_flight_per_flow, work_factor,
+                context.data_centre),
         UpstreamRank(context.key, candidates[i].agent)};
     if (!best || rank < best_rank) {
       best = i;
--- a/filberthollow/decision/load/upstream_choice.h
+++ b/filberthollow/decision/load/upstream_choice.h
@@ -4,10 +4,11 @@
 // upstreams by LeastWorkChoice. They answer these load patterns: many flows
 // that arrive between two load reports (they must not all go to the upstream
 // that was idle in the last one), upstreams that are slow after their start,
-// flows that are open but idle, and upstreams in several data centres.
+// flows that are open but idle, upstreams in several data centres, and
+// upstreams of uneven speed.
 //
-//   std::optional<size_t> best =
-//       LeastWorkChoice().Choose(candidates, {own_data_centre, key});
+//   std::optional<size_t> best = LeastWorkChoice().Choose(
+//       candidates, {own_data_centre, key, UsualWorkUs(candidates)});
 #ifndef FILBERTHOLLOW_LOAD_UPSTREAM_CHOICE_H_
 #define FILBERTHOLLOW_LOAD_UPSTREAM_CHOICE_H_
 
@@ -17,27 +18,20 @@
 #include <span>
 
 #include "filberthollow/base/address.h"
-#include "filberthollow/base/clock.h"
-#include "filberthollow/decision/load/upstream_load.h"
+#include "filberthollow/decision/load/upstream_candidate.h"
+#include "filberthollow/decision/load/work_factor.h"
 
 namespace filberthollow::decision::load {
 
-// UpstreamCandidate is an upstream that may be offered the flow.
-struct UpstreamCandidate {
-  base::Address agent;
-  uint64_t data_centre = 0;
-  UpstreamLoad load;
-  uint32_t placed_since_load = 0;  // by this balancer since `load` was reported
-  friend bool operator==(const UpstreamCandidate&,
-                         const UpstreamCandidate&) = default;
-};
-
 // ChoiceContext holds what a choice depends on besides the candidates.
 struct ChoiceContext {
   uint64_t data_centre = 0;  // of the balancer
   // Differs by flow. Breaks ties, so that balancers do not all choose the same
   // upstream.
   uint64_t key = 0;
+  // UsualWorkUs() of all candidates of the service, since the few that a
+  // strategy samples do not show what is usual; 0: unknown.
+  double usual_work_us = 0;
   friend bool operator==(const ChoiceContext&, const ChoiceContext&) = default;
 };
 
@@ -62,8 +56,8 @@
 // LeastWorkChoice chooses the upstream with the least expected work per slot:
 // the mean of the requests in progress and the requests expected from the open
 // flows, plus the flows that this balancer has placed on the upstream since its
-// load was last reported. An upstream in another data centre gets a penalty,
-// since traffic between data centres has a cost.
+// load was last reported, times its WorkFactor. An upstream in another data
+// centre gets a penalty, since traffic between data centres has a cost.
 class LeastWorkChoice final : public UpstreamChoice {
  public:
   // Added to the expected work per slot of an upstream in another data centre.
@@ -74,8 +68,15 @@
   // How many times slower an upstream works just after its start.
   static constexpr double kColdFactor = 1.6;
 
+  // `work_factor` must outlive this object.
+  explicit LeastWorkChoice(const WorkFactor& work_factor = DefaultWorkFactor())
+      : m_work_factor(work_factor) {}
+
   std::optional<size_t> Choose(std::span<const UpstreamCandidate> candidates,
                                const ChoiceContext& context) const override;
+
+ private:
+  const WorkFactor& m_work_factor;
 };
 
 // SampledChoice lets another strategy choose among a few candidates, which are
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -197,6 +197,9 @@
              {"slots", note.load.slots},
              {"placed", note.placed_since_load},
              {"load_age_ms", note.load_age},
+             {"work_us", note.load.work_us},
+             {"work_age_ms", note.load.work_age_ms},
+             {"usual_work_us", note.usual_work_us},
              {"revision", m_router.revision()}});
 }
 
