Measured work time in the load of an upstream

Cause: balancers need to know how fast an upstream works, without an idle upstream to measure and without the wait for a slot.

UpstreamGate feeds it and reports work_us and work_age_ms; another run clears it, and a cold upstream is not measured, since the choice has a factor for that. The agent has the metric work_us.

--- a/filberthollow/decision/flows/upstream_gate.cc
+++ b/filberthollow/decision/flows/upstream_gate.cc
@@ -29,7 +29,8 @@
                  now),
       m_last_tick(now),
       m_queue(*options.queue_order),
-      m_meter(now) {}
+      m_meter(now),
+      m_work(now) {}
 
 bool UpstreamGate::KnowsAllFlows(base::Millis now) const {
   return m_options.first_start || m_liveness.observed_from_start() ||
@@ -280,6 +281,7 @@
   bool was_open = flow.stage != Stage::kClosed;
   if (flow.request_pending && header.data_bytes > 0) {
     actions.emplace_back(RequestAnswered{now - flow.request_since});
+    m_work.CountAnswer(m_meter.count(), m_liveness.slots(), now);
   }
   if (header.resets && was_open) {
     actions.emplace_back(UpstreamReset{
@@ -418,11 +420,15 @@
 load::UpstreamLoad UpstreamGate::CurrentLoad(base::Millis now) const {
   auto mean = static_cast<int64_t>(m_meter.Mean(now) * kHundredths);
   auto in_flight = static_cast<int64_t>(m_meter.count() + m_queue.size());
+  load::MeasuredWork work =
+      m_work.Measure(m_meter.count(), m_liveness.slots(), now);
   return {.slots = ClampToUint16(m_liveness.slots()),
           .in_flight = ClampToUint16(in_flight),
           .open_flows = ClampToUint16(m_open_flows),
           .in_flight_mean = ClampToUint16(mean),
-          .cold_ms = ClampToUint16(m_liveness.ColdTimeLeft(now).count())};
+          .cold_ms = ClampToUint16(m_liveness.ColdTimeLeft(now).count()),
+          .work_age_ms = ClampToUint16(work.age.count()),
+          .work_us = work.work_us};
 }
 
 UpstreamState UpstreamGate::ReportedState(base::Millis now) const {
--- a/filberthollow/decision/flows/upstream_gate.h
+++ b/filberthollow/decision/flows/upstream_gate.h
@@ -41,6 +41,7 @@
 #include "filberthollow/decision/flows/upstream_life.h"
 #include "filberthollow/decision/load/busy_meter.h"
 #include "filberthollow/decision/load/request_queue.h"
+#include "filberthollow/decision/load/work_meter.h"
 
 namespace filberthollow::decision::flows {
 
@@ -297,6 +298,7 @@
   base::Millis m_last_tick;
   load::RequestQueue m_queue;
   load::InFlightMeter m_meter;
+  load::WorkMeter m_work;
   uint32_t m_open_flows = 0;  // flows that are not closed, including offers
   base::Millis m_next_sweep{0};
   bool m_offers_pending = false;
--- a/filberthollow/decision/flows/upstream_gate_life.cc
+++ b/filberthollow/decision/flows/upstream_gate_life.cc
@@ -16,6 +16,7 @@
     return outcome;
   }
   if (outcome == HeartbeatOutcome::kNewRun) {
+    m_work.Clear(now);
     ResetFlows(m_liveness.previous_run_alive(), Reason::kUpstreamRestarted, now,
                actions);
   }
--- a/filberthollow/decision/flows/upstream_gate_requests.cc
+++ b/filberthollow/decision/flows/upstream_gate_requests.cc
@@ -94,6 +94,11 @@
   if (flow.request_pending == pending) {
     return;
   }
+  m_work.Advance(m_meter.count(), m_liveness.slots(), now);
+  if (m_liveness.ColdTimeLeft(now) > base::Millis(0)) {
+    // Else it would count as slow for some time after its cold start.
+    m_work.Clear(now);
+  }
   flow.request_pending = pending;
   flow.request_since = now;
   if (pending) {
--- a/filberthollow/decision/flows/upstream_gate_requests_test.cc
+++ b/filberthollow/decision/flows/upstream_gate_requests_test.cc
@@ -117,6 +117,67 @@
   BOOST_TEST(TakeActions().empty());
 }
 
+// Sends requests one after the other, each answered after a tick.
+struct MeasuredUpstream : Fixture {
+  static constexpr uint32_t kRequests = 120;
+
+  void Serve() {
+    for (uint32_t i = 0; i < kRequests; ++i) {
+      Forward(Data(101 + i * 500, 500));
+      AdvanceTime(kTickStep);
+      FromUpstream(UpstreamData(kUpstreamInitialSequence + 1 + i * 100, 100));
+    }
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(LoadHoldsMeasuredWork, MeasuredUpstream) {
+  OpenFlow();
+  BOOST_TEST(gate.Report(now).load.work_us == 0U);
+  Serve();
+  BOOST_TEST(gate.Report(now).load.work_us > 99'000U);
+  BOOST_TEST(gate.Report(now).load.work_us < 101'000U);
+  AdvanceTime(Millis(700));
+  BOOST_TEST(gate.Report(now).load.work_age_ms == 700U);
+}
+
+// Guards against requests that end without an answer and make an upstream seem
+// faster than it is.
+BOOST_FIXTURE_TEST_CASE(OnlyAnswersCountAsAnswers, MeasuredUpstream) {
+  OpenFlow();
+  Serve();
+  uint32_t before = gate.Report(now).load.work_us;
+  Forward(Data(101 + kRequests * 500, 500));
+  AdvanceTime(kTickStep);
+  Forward(Finish(101 + (kRequests + 1) * 500));
+  auto finish = UpstreamData(kUpstreamInitialSequence + 1 + kRequests * 100, 0);
+  finish.finishes = true;
+  FromUpstream(finish);
+  BOOST_TEST(gate.Report(now).load.in_flight == 0U);
+  BOOST_TEST(gate.Report(now).load.work_us > before);
+}
+
+// Guards against a restarted upstream that is avoided, or preferred, for the
+// speed of its last run.
+BOOST_FIXTURE_TEST_CASE(MeasuredWorkIsOfTheCurrentRun, MeasuredUpstream) {
+  OpenFlow();
+  Serve();
+  BOOST_TEST(gate.Report(now).load.work_us > 0U);
+  DeliverHeartbeat(
+      testing::MakeHeartbeat(1, UpstreamState::kReady, now.count()));
+  BOOST_TEST(gate.Report(now).load.work_us == 0U);
+}
+
+// Guards against an upstream that seems slow after its cold start, which the
+// choice counts already.
+BOOST_FIXTURE_TEST_CASE(WorkOfAColdUpstreamIsNotMeasured, MeasuredUpstream) {
+  OpenFlow();
+  UpstreamHeartbeat cold = testing::MakeHeartbeat(2);
+  cold.cold_remaining = Millis(60'000);
+  DeliverHeartbeat(cold);
+  Serve();
+  BOOST_TEST(gate.Report(now).load.work_us == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(UpstreamFinishEndsPendingRequest, FullUpstream) {
   SendRequest(1);
   flow::PacketHeader finish =
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -158,6 +158,7 @@
 void AgentTask::Handle(const admin::ReportQuery& m) {
   m_metrics.Set("flows", m_gate.flows());
   m_metrics.Set("packets_wakeups", loop().wakeups());
+  m_metrics.Set("work_us", m_gate.Report(Now()).load.work_us);
   nlohmann::json status{{"revision", m_gate.revision()},
                         {"flows", m_gate.flows()},
                         {"balancers", m_balancers.size()}};
