Lab patterns of uneven speed and of an upstream slow for 6 s

Cause: the lab could not show what the choice by measured work is worth.

Change: a pattern may give speeds of upstreams, requests with a tail, and a number of requests per long flow; without that, long flows stay where they were placed before anything was measured. Results hold the busy time of the busiest upstream over the mean, and the mean wait at the worst agent. The policy without_speed is the product without work times.

--- a/filberthollow/lab/baselines.cc
+++ b/filberthollow/lab/baselines.cc
@@ -113,11 +113,14 @@
   static const LeastLoadedChoice least_loaded;
   static const TwoChoices two_choices;
   static const load::LeastWorkChoice least_work;
+  static const load::EvenWorkFactor even;
+  static const load::LeastWorkChoice even_work(even);
+  static const load::LocalFirstChoice without_speed(even_work);
   static const load::SampledChoice sampled_2(least_work, 2);
   static const load::SampledChoice sampled_3(least_work, 3);
   static const Fifo fifo;
   static const Lifo lifo;
-  static const std::array<Policy, 10> policies{{
+  static const std::array<Policy, 11> policies{{
       {.name = kProductPolicy},
       {.name = "random", .choice = &random},
       {.name = "round_robin", .choice = &round_robin},
@@ -125,6 +128,7 @@
       {.name = "least_work", .choice = &least_work},
       {.name = "sampled_2", .choice = &sampled_2},
       {.name = "sampled_3", .choice = &sampled_3},
+      {.name = kWithoutSpeedPolicy, .choice = &without_speed},
       {.name = "perfect", .choice = &least_loaded, .perfect_knowledge = true},
       {.name = "fifo", .order = &fifo},
       {.name = "lifo", .order = &lifo},
--- a/filberthollow/lab/baselines.h
+++ b/filberthollow/lab/baselines.h
@@ -13,6 +13,9 @@
 
 // Name of the policy with the strategies of the product.
 inline constexpr const char* kProductPolicy = "product";
+// Name of the policy that differs from the product in that it ignores how fast
+// upstreams work.
+inline constexpr const char* kWithoutSpeedPolicy = "without_speed";
 
 // Returns all policies. The first one is that of the product.
 std::span<const Policy> AllPolicies();
--- a/filberthollow/lab/caller_model.cc
+++ b/filberthollow/lab/caller_model.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr uint32_t kPercent = 100;
+constexpr double kPerMille = 1000;
 constexpr double kMillisPerSecond = 1000;
 constexpr uint32_t kInitialSequence = 100;
 constexpr uint16_t kRequestBytes = 500;
@@ -58,6 +59,10 @@
   const RequestKind& wanted = m_pattern.kinds[kind];
   double work = m_sources[kind].work.LogNormal(
       wanted.work_ms, wanted.spread_percent / double{kPercent});
+  if (wanted.tail_per_mille > 0 &&
+      m_sources[kind].work.Chance(wanted.tail_per_mille / kPerMille)) {
+    work *= wanted.tail_factor;
+  }
   m_outcomes.push_back(
       {.kind = static_cast<uint32_t>(kind),
        .born = m_engine.Now(),
@@ -186,8 +191,12 @@
   outcome.took = m_engine.Now() - outcome.born;
   m_flow_of_request.erase(flow.request);
   flow.request = 0;
+  ++flow.answers;
+  const RequestKind& kind = m_pattern.kinds[flow.kind];
+  bool keep = kind.long_flows && (kind.requests_per_flow == 0 ||
+                                  flow.answers < kind.requests_per_flow);
   base::Address& idle = m_sources[flow.kind].idle_flows[flow.session];
-  if (m_pattern.kinds[flow.kind].long_flows && idle == base::Address{}) {
+  if (keep && idle == base::Address{}) {
     idle = flow.ends.caller;
   } else {
     CloseFlow(flow);
--- a/filberthollow/lab/caller_model.h
+++ b/filberthollow/lab/caller_model.h
@@ -81,8 +81,9 @@
     uint32_t next_sequence = 101;
     uint32_t acknowledged = 0;
     uint64_t request = 0;  // in progress; 0: none
-    uint32_t copies = 0;   // of the packet that waits for an answer
-    uint64_t epoch = 0;    // invalidates timers
+    uint32_t answers = 0;
+    uint32_t copies = 0;  // of the packet that waits for an answer
+    uint64_t epoch = 0;   // invalidates timers
   };
 
   void ScheduleArrival(size_t kind);
--- a/filberthollow/lab/experiment.cc
+++ b/filberthollow/lab/experiment.cc
@@ -150,7 +150,10 @@
   RunResult result{.pattern = pattern.name,
                    .policy = policy.name,
                    .seed = seed,
+                   .work_done_ms = fleet.WorkDone(),
                    .imbalance = Imbalance(fleet.WorkDone()),
+                   .busy_imbalance = Imbalance(fleet.BusyTimes()),
+                   .worst_wait_ms = fleet.WorstMeanWait(),
                    .events = engine.events()};
   // Requests whose deadline lies after the end are not counted.
   std::vector<Outcome> ended;
@@ -220,6 +223,8 @@
               {"refusals", result.refusals},
               {"resets", result.resets},
               {"imbalance", result.imbalance},
+              {"busy_imbalance", result.busy_imbalance},
+              {"worst_wait_ms", result.worst_wait_ms},
               {"events", result.events}}
       .dump();
 }
--- a/filberthollow/lab/experiment.h
+++ b/filberthollow/lab/experiment.h
@@ -34,8 +34,13 @@
   uint64_t tries = 0;  // attempts after the first of a request
   uint64_t refusals = 0;
   uint64_t resets = 0;
+  std::vector<uint64_t> work_done_ms;  // by each upstream
   // Work of the busiest upstream over the mean of all.
   double imbalance = 0;
+  // Time in which the slots of the busiest upstream worked, over the mean.
+  double busy_imbalance = 0;
+  // Mean time that a request waits at the agent where that is longest.
+  double worst_wait_ms = 0;
   uint64_t events = 0;  // that the engine has run
   friend bool operator==(const RunResult&, const RunResult&) = default;
 
--- a/filberthollow/lab/fleet_model.cc
+++ b/filberthollow/lab/fleet_model.cc
@@ -108,6 +108,10 @@
           m_engine.After(Millis(0),
                          [this, i, packet] { FromUpstream(i, packet); });
         });
+    if (!pattern.speeds.empty()) {
+      agent->upstream->SetSpeedPercent(
+          pattern.speeds[i % pattern.speeds.size()].percent);
+    }
     m_agent_at[agent->address] = i;
     m_agents.push_back(std::move(agent));
   }
@@ -148,6 +152,26 @@
   return work;
 }
 
+std::vector<uint64_t> FleetModel::BusyTimes() const {
+  std::vector<uint64_t> times;
+  for (const auto& agent : m_agents) {
+    times.push_back(
+        static_cast<uint64_t>(agent->upstream->busy_time().count()));
+  }
+  return times;
+}
+
+double FleetModel::WorstMeanWait() const {
+  double worst = 0;
+  for (const auto& agent : m_agents) {
+    if (agent->answers > 0) {
+      worst = std::max(worst, static_cast<double>(agent->waited.count()) /
+                                  static_cast<double>(agent->answers));
+    }
+  }
+  return worst;
+}
+
 bool FleetModel::IsPacketLost() {
   return m_pattern.loss_per_mille > 0 &&
          m_losses.Chance(m_pattern.loss_per_mille / 1000.0);
@@ -401,6 +425,10 @@
                    balancer.router->OnLocated(message, from, m_engine.Now(),
                                               balancer.actions);
                  });
+    } else if (auto* waited = std::get_if<flows::RequestWaited>(&action)) {
+      agent.waited = agent.waited + waited->waited;
+    } else if (std::holds_alternative<flows::RequestAnswered>(action)) {
+      ++agent.answers;
     } else if (std::holds_alternative<flows::CheckUpstream>(action)) {
       m_engine.After(kHealthCheckTime, [this, index, run = agent.run] {
         Agent& checked = *m_agents[index];
--- a/filberthollow/lab/fleet_model.h
+++ b/filberthollow/lab/fleet_model.h
@@ -58,6 +58,11 @@
   double Capacity() const;
   // Returns the work that each upstream has done.
   std::vector<uint64_t> WorkDone() const;
+  // Returns the time that the slots of each upstream have spent on work, in ms.
+  std::vector<uint64_t> BusyTimes() const;
+  // Returns the highest mean time, over the agents, that a request has waited
+  // at an agent for a slot, in ms.
+  double WorstMeanWait() const;
 
  private:
   struct Balancer;
--- a/filberthollow/lab/fleet_nodes.h
+++ b/filberthollow/lab/fleet_nodes.h
@@ -28,7 +28,9 @@
   uint64_t run = 0;
   uint64_t sequence = 0;  // of heartbeats
   base::Millis next_tick{base::kNever};
-  bool lies = false;  // reports no load
+  bool lies = false;       // reports no load
+  base::Millis waited{0};  // of all requests at this agent
+  uint64_t answers = 0;
 };
 
 }  // namespace filberthollow::lab
--- a/filberthollow/lab/lab_test.cc
+++ b/filberthollow/lab/lab_test.cc
@@ -28,6 +28,11 @@
   return gain;
 }
 
+// Returns the work that each upstream has done under the product.
+std::vector<uint64_t> WorkOfUpstreams(const Pattern& pattern, uint64_t seed) {
+  return RunPattern(pattern, *FindPolicy(kProductPolicy), seed).work_done_ms;
+}
+
 BOOST_AUTO_TEST_CASE(SameSeedGivesTheSameResult) {
   Pattern pattern = Named("release-under-load");
   const Policy& product = *FindPolicy(kProductPolicy);
@@ -123,6 +128,59 @@
   BOOST_TEST(Gain("slow-upstream", "random").verdict == "better");
 }
 
+// Answers the pattern uneven-speeds. Without work times, the slots of the
+// busiest upstream worked 1.13 to 1.15 of the mean.
+BOOST_AUTO_TEST_CASE(ChoiceByMeasuredWorkServesUnevenSpeedsBetter) {
+  constexpr double kMaxBusyImbalance = 1.1;
+  Pattern pattern = Named("uneven-speeds");
+  BOOST_TEST(Gain("uneven-speeds", kWithoutSpeedPolicy).verdict == "better");
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    RunResult before =
+        RunPattern(pattern, *FindPolicy(kWithoutSpeedPolicy), seed);
+    RunResult after = RunPattern(pattern, *FindPolicy(kProductPolicy), seed);
+    BOOST_TEST(after.busy_imbalance < before.busy_imbalance);
+    BOOST_TEST(after.busy_imbalance < kMaxBusyImbalance);
+    BOOST_TEST(after.worst_wait_ms < before.worst_wait_ms);
+  }
+}
+
+// Guards against a fleet of even speed whose flows are moved by the size of
+// requests: all that was measured must be the same as without work times.
+BOOST_AUTO_TEST_CASE(EvenFleetIsServedAsWithoutMeasuredWork) {
+  Pattern skewed = Named("uneven-speeds");
+  skewed.speeds.clear();
+  skewed.seconds = 15;
+  for (const Pattern& pattern :
+       {skewed, Named("calm-wave"), Named("grey-upstream")}) {
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      RunResult before =
+          RunPattern(pattern, *FindPolicy(kWithoutSpeedPolicy), seed);
+      before.policy = kProductPolicy;
+      BOOST_TEST(
+          (RunPattern(pattern, *FindPolicy(kProductPolicy), seed) == before),
+          pattern.name);
+    }
+  }
+}
+
+// Answers the pattern upstream-slow-for-6-s: the upstream must be used again
+// after its recovery, and callers must not fare worse.
+BOOST_AUTO_TEST_CASE(UpstreamThatWasSlowIsUsedAgain) {
+  constexpr double kMinShareOfMean = 0.9;
+  Pattern pattern = Named("upstream-slow-for-6-s");
+  BOOST_TEST(Gain(pattern.name, kWithoutSpeedPolicy).verdict != "worse");
+  Pattern longer = pattern;
+  longer.seconds += 10;
+  std::vector<uint64_t> early = WorkOfUpstreams(pattern, 1);
+  std::vector<uint64_t> late = WorkOfUpstreams(longer, 1);
+  double total = 0;
+  for (size_t i = 0; i < late.size(); ++i) {
+    total += static_cast<double>(late[i] - early[i]);
+  }
+  double mean = total / static_cast<double>(late.size());
+  BOOST_TEST(static_cast<double>(late[0] - early[0]) > kMinShareOfMean * mean);
+}
+
 // Answers the pattern all-restarted-without-configuration. The target is that
 // open flows are served: 78% of the requests travel on long flows, and half of
 // these are left after one second in which nothing ran.
--- a/filberthollow/lab/pattern.cc
+++ b/filberthollow/lab/pattern.cc
@@ -36,7 +36,7 @@
     {"delay_ms", &Pattern::delay_ms, 0, 500},
     {"loss_per_mille", &Pattern::loss_per_mille, 0, 500},
 }};
-constexpr std::array<NumberField<RequestKind>, 10> kKindFields{{
+constexpr std::array<NumberField<RequestKind>, 13> kKindFields{{
     {"per_second", &RequestKind::per_second, 0, 200'000},
     {"work_ms", &RequestKind::work_ms, 1, 60'000},
     {"spread_percent", &RequestKind::spread_percent, 0, 300},
@@ -47,6 +47,12 @@
     {"priority", &RequestKind::priority, 0, 100},
     {"retries", &RequestKind::retries, 0, 10},
     {"sessions", &RequestKind::sessions, 1, 1'000'000},
+    {"requests_per_flow", &RequestKind::requests_per_flow, 0, 1'000'000},
+    {"tail_per_mille", &RequestKind::tail_per_mille, 0, 1000},
+    {"tail_factor", &RequestKind::tail_factor, 1, 100},
+}};
+constexpr std::array<NumberField<UpstreamSpeed>, 1> kSpeedFields{{
+    {"percent", &UpstreamSpeed::percent, 1, 1000},
 }};
 constexpr std::array<NumberField<PatternEvent>, 5> kEventFields{{
     {"at_ms", &PatternEvent::at_ms, 0, 3'600'000},
@@ -94,6 +100,10 @@
   kind.long_flows = ReadFlag(reader, "long_flows", kind.long_flows);
 }
 
+void ReadSpeed(ObjectReader& reader, UpstreamSpeed& speed) {
+  ReadNumbers(reader, kSpeedFields, speed);
+}
+
 void ReadEvent(ObjectReader& reader, PatternEvent& event) {
   std::string name = reader.Text("event");
   bool known = false;
@@ -148,6 +158,9 @@
   pattern.name = reader.Text("name");
   pattern.answers = reader.Text("answers");
   ReadNumbers(reader, kPatternFields, pattern);
+  if (auto error = ReadList(reader, "speeds", &ReadSpeed, pattern.speeds)) {
+    return *error;
+  }
   if (auto error = ReadList(reader, "kinds", &ReadKind, pattern.kinds)) {
     return *error;
   }
--- a/filberthollow/lab/pattern.h
+++ b/filberthollow/lab/pattern.h
@@ -32,7 +32,12 @@
   bool idempotent = true;
   // Whether callers keep flows open for many requests, or open one for each.
   bool long_flows = true;
+  uint32_t tail_per_mille =
+      0;  // requests that take `tail_factor` times as long
+  uint32_t tail_factor = 7;
   uint32_t sessions = 300;  // callers with a long flow
+  // Requests after which a caller replaces its long flow; 0: it keeps it.
+  uint32_t requests_per_flow = 0;
   friend bool operator==(const RequestKind&, const RequestKind&) = default;
 };
 
@@ -60,6 +65,12 @@
   friend bool operator==(const PatternEvent&, const PatternEvent&) = default;
 };
 
+// UpstreamSpeed is the speed of an upstream, in percent of the nominal one.
+struct UpstreamSpeed {
+  uint32_t percent = 100;
+  friend bool operator==(const UpstreamSpeed&, const UpstreamSpeed&) = default;
+};
+
 struct Pattern {
   std::string name;
   std::string answers;  // what the pattern shows, for people
@@ -73,6 +84,8 @@
   uint32_t cold_percent = 160;   // of the usual time
   uint32_t delay_ms = 4;         // one way between any two hosts
   uint32_t loss_per_mille = 0;   // of packets
+  // Speeds of the upstreams in turn, repeated for further ones; empty: nominal.
+  std::vector<UpstreamSpeed> speeds;
   std::vector<RequestKind> kinds;
   std::vector<PatternEvent> events;
   friend bool operator==(const Pattern&, const Pattern&) = default;
--- a/filberthollow/lab/upstream_model.cc
+++ b/filberthollow/lab/upstream_model.cc
@@ -44,7 +44,7 @@
 uint32_t UpstreamModel::WorkPercent() const {
   uint32_t cold =
       ColdTimeLeft() > base::Millis(0) ? m_pattern.cold_percent : kPercent;
-  return cold * m_slow_percent / kPercent;
+  return cold * m_slow_percent / m_speed_percent;
 }
 
 void UpstreamModel::Receive(const LabPacket& packet) {
@@ -111,15 +111,17 @@
   ++m_busy;
   base::Millis time(std::max<int64_t>(
       int64_t{job.packet.work_ms} * WorkPercent() / kPercent, 1));
-  m_engine.After(time, [this, job, run = m_run] { FinishJob(job, run); });
+  m_engine.After(time,
+                 [this, job, time, run = m_run] { FinishJob(job, time, run); });
 }
 
-void UpstreamModel::FinishJob(const Job& job, uint64_t run) {
+void UpstreamModel::FinishJob(const Job& job, base::Millis time, uint64_t run) {
   if (run != m_run) {
     return;  // lost in a crash
   }
   --m_busy;
   m_work_done_ms += job.packet.work_ms;
+  m_busy_time = m_busy_time + time;
   auto flow = m_flows.find(job.packet.header.FromCaller());
   if (flow != m_flows.end()) {
     Answer(flow->second, job.packet, false);
--- a/filberthollow/lab/upstream_model.h
+++ b/filberthollow/lab/upstream_model.h
@@ -33,6 +33,7 @@
   void Crash();
   void Receive(const LabPacket& packet);
 
+  void SetSpeedPercent(uint32_t percent) { m_speed_percent = percent; }
   void SetSlowPercent(uint32_t percent) { m_slow_percent = percent; }
   void SetRefusedPercent(uint32_t percent) { m_refused_percent = percent; }
   void SetDraining(bool draining) { m_draining = draining; }
@@ -50,6 +51,8 @@
   uint32_t WorkPercent() const;
   // Returns the work done so far, in milliseconds of a warm slot.
   uint64_t work_done_ms() const { return m_work_done_ms; }
+  // Returns the time that its slots have spent on work so far.
+  base::Millis busy_time() const { return m_busy_time; }
 
  private:
   struct Flow {
@@ -64,7 +67,7 @@
 
   void OnRequest(Flow& flow, const LabPacket& packet);
   void StartJob(const Job& job);
-  void FinishJob(const Job& job, uint64_t run);
+  void FinishJob(const Job& job, base::Millis time, uint64_t run);
   void Answer(Flow& flow, const LabPacket& packet, bool refused);
 
   Engine& m_engine;
@@ -75,10 +78,12 @@
   bool m_draining = false;
   uint64_t m_run = 0;
   base::Millis m_cold_until{0};
+  uint32_t m_speed_percent = 100;  // of the nominal speed
   uint32_t m_slow_percent = 100;
   uint32_t m_refused_percent = 0;
   uint32_t m_busy = 0;
   uint64_t m_work_done_ms = 0;
+  base::Millis m_busy_time{0};
   std::deque<Job> m_queue;
   std::unordered_map<flow::FlowEnds, Flow, flow::FlowEndsHash> m_flows;
 };
