Results of the lab's fleet in a file of their own

Change: the functions that tell what upstreams can do and have done move to fleet_results.cc, unchanged.

Tested: lab_lab_test, all 14 cases.

--- a/filberthollow/lab/fleet_model.cc
+++ b/filberthollow/lab/fleet_model.cc
@@ -26,7 +26,6 @@
 constexpr Millis kReadinessInterval{500};
 constexpr uint32_t kMissesUntilOut = 2;
 constexpr Millis kHealthCheckTime{2};
-constexpr uint32_t kPercent = 100;
 constexpr uint32_t kConnections = 100'000;
 
 std::shared_ptr<const flows::RouteTable> MakeRoutes(const Pattern& pattern) {
@@ -133,45 +132,6 @@
   }
 }
 
-double FleetModel::Capacity() const {
-  double capacity = 0;
-  for (const auto& agent : m_agents) {
-    if (agent->upstream->alive()) {
-      capacity +=
-          m_pattern.slots * double{kPercent} / agent->upstream->WorkPercent();
-    }
-  }
-  return capacity;
-}
-
-std::vector<uint64_t> FleetModel::WorkDone() const {
-  std::vector<uint64_t> work;
-  for (const auto& agent : m_agents) {
-    work.push_back(agent->upstream->work_done_ms());
-  }
-  return work;
-}
-
-std::vector<uint64_t> FleetModel::BusyTimes() const {
-  std::vector<uint64_t> times;
-  for (const auto& agent : m_agents) {
-    times.push_back(
-        static_cast<uint64_t>(agent->upstream->busy_time().count()));
-  }
-  return times;
-}
-
-double FleetModel::WorstMeanWait() const {
-  double worst = 0;
-  for (const auto& agent : m_agents) {
-    if (agent->answers > 0) {
-      worst = std::max(worst, static_cast<double>(agent->waited.count()) /
-                                  static_cast<double>(agent->answers));
-    }
-  }
-  return worst;
-}
-
 bool FleetModel::IsPacketLost() {
   return m_pattern.loss_per_mille > 0 &&
          m_losses.Chance(m_pattern.loss_per_mille / 1000.0);
