--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -249,8 +249,9 @@
   if (load::RemoveCandidatesWithoutRoom(candidates)) {
     reason = Reason::kColdLimit;
   }
-  std::optional<size_t> best =
-      m_choice.Choose(candidates, {m_data_centre, flow::FlowEndsHash{}(ends)});
+  load::ChoiceContext context{m_data_centre, flow::FlowEndsHash{}(ends),
+                              load::UsualWorkUs(candidates)};
+  std::optional<size_t> best = m_choice.Choose(candidates, context);
   if (!best && may_wait) {
     return true;
   }
@@ -268,13 +269,15 @@
   offer.tried.push_back(offer.agent);
   offer.sent_at = now;
   Agent& agent = m_agents[offer.agent];
-  actions.emplace_back(OfferMade{.flow = ends,
-                                 .agent = offer.agent,
-                                 .tries = offer.tried.size(),
-                                 .candidates = candidates.size(),
-                                 .load = agent.report.load,
-                                 .load_age = now - agent.load_reported_at,
-                                 .placed_since_load = agent.placed_since_load});
+  actions.emplace_back(
+      OfferMade{.flow = ends,
+                .agent = offer.agent,
+                .tries = offer.tried.size(),
+                .candidates = candidates.size(),
+                .load = agent.report.load,
+                .load_age = now - agent.load_reported_at,
+                .placed_since_load = agent.placed_since_load,
+                .usual_work_us = static_cast<uint32_t>(context.usual_work_us)});
   ++agent.placed_since_load;
   actions.emplace_back(
       SendForward{offer.agent, NewForward(offer.packet, false)});
--- a/filberthollow/decision/flows/upstream_gate.cc
+++ b/filberthollow/decision/flows/upstream_gate.cc
@@ -30,7 +30,8 @@
       m_last_tick(now),
       m_queue(*options.queue_order),
       m_meter(now),
-      m_cold_limiter(options.cold_bounds, now) {}
+      m_cold_limiter(options.cold_bounds, now),
+      m_work(now) {}
 
 bool UpstreamGate::KnowsAllFlows(base::Millis now) const {
   return m_options.first_start || m_liveness.observed_from_start() ||
@@ -289,6 +290,7 @@
   bool was_open = flow.stage != Stage::kClosed;
   if (flow.request_pending && header.data_bytes > 0) {
     actions.emplace_back(RequestAnswered{now - flow.request_since});
+    m_work.CountAnswer(m_meter.count(), m_liveness.slots(), now);
   }
   if (header.resets && was_open) {
     actions.emplace_back(UpstreamReset{
@@ -430,12 +432,16 @@
 load::UpstreamLoad UpstreamGate::CurrentLoad(base::Millis now) const {
   auto mean = static_cast<int64_t>(m_meter.Mean(now) * kHundredths);
   auto in_flight = static_cast<int64_t>(m_meter.count() + m_queue.size());
+  load::MeasuredWork work =
+      m_work.Measure(m_meter.count(), m_liveness.slots(), now);
   return {.slots = ClampToUint16(m_liveness.slots()),
           .in_flight = ClampToUint16(in_flight),
           .open_flows = ClampToUint16(m_open_flows),
           .in_flight_mean = ClampToUint16(mean),
           .cold_ms = ClampToUint16(m_liveness.ColdTimeLeft(now).count()),
-          .openings_left = OpeningsLeft(now)};
+          .openings_left = OpeningsLeft(now),
+          .work_age_ms = ClampToUint16(work.age.count()),
+          .work_us = work.work_us};
 }
 
 UpstreamState UpstreamGate::ReportedState(base::Millis now) const {
--- a/filberthollow/decision/flows/upstream_gate.h
+++ b/filberthollow/decision/flows/upstream_gate.h
@@ -42,6 +42,7 @@
 #include "filberthollow/decision/load/busy_meter.h"
 #include "filberthollow/decision/load/cold_limit.h"
 #include "filberthollow/decision/load/request_queue.h"
+#include "filberthollow/decision/load/work_meter.h"
 
 namespace filberthollow::decision::flows {
 
@@ -311,6 +312,7 @@
   load::InFlightMeter m_meter;
   load::ColdLimiter m_cold_limiter;
   load::ColdDoubt m_cold_doubt;
+  load::WorkMeter m_work;
   uint32_t m_open_flows = 0;  // flows that are not closed, including offers
   base::Millis m_next_sweep{0};
   bool m_offers_pending = false;
--- a/filberthollow/lab/fleet_model.cc
+++ b/filberthollow/lab/fleet_model.cc
@@ -26,7 +26,6 @@
 constexpr Millis kReadinessInterval{500};
 constexpr uint32_t kMissesUntilOut = 2;
 constexpr Millis kHealthCheckTime{2};
-constexpr uint32_t kPercent = 100;
 constexpr uint32_t kConnections = 100'000;
 
 std::shared_ptr<const flows::RouteTable> MakeRoutes(const Pattern& pattern) {
@@ -108,6 +107,10 @@
           m_engine.After(Millis(0),
                          [this, i, packet] { FromUpstream(i, packet); });
         });
+    if (!pattern.speeds.empty()) {
+      agent->upstream->SetSpeedPercent(
+          pattern.speeds[i % pattern.speeds.size()].percent);
+    }
     m_agent_at[agent->address] = i;
     m_agents.push_back(std::move(agent));
   }
@@ -129,25 +132,6 @@
   }
 }
 
-double FleetModel::Capacity() const {
-  double capacity = 0;
-  for (const auto& agent : m_agents) {
-    if (agent->upstream->alive()) {
-      capacity +=
-          m_pattern.slots * double{kPercent} / agent->upstream->WorkPercent();
-    }
-  }
-  return capacity;
-}
-
-std::vector<uint64_t> FleetModel::WorkDone() const {
-  std::vector<uint64_t> work;
-  for (const auto& agent : m_agents) {
-    work.push_back(agent->upstream->work_done_ms());
-  }
-  return work;
-}
-
 bool FleetModel::IsPacketLost() {
   return m_pattern.loss_per_mille > 0 &&
          m_losses.Chance(m_pattern.loss_per_mille / 1000.0);
@@ -401,6 +385,10 @@
                    balancer.router->OnLocated(message, from, m_engine.Now(),
                                               balancer.actions);
                  });
+    } else if (auto* waited = std::get_if<flows::RequestWaited>(&action)) {
+      agent.waited = agent.waited + waited->waited;
+    } else if (std::holds_alternative<flows::RequestAnswered>(action)) {
+      ++agent.answers;
     } else if (std::holds_alternative<flows::CheckUpstream>(action)) {
       m_engine.After(kHealthCheckTime, [this, index, run = agent.run] {
         Agent& checked = *m_agents[index];
