Queued requests are ordered by what can still be answered

Cause: at peaks an agent with 2 slots held up to 26 requests for up to 3,832 ms, and one was started 63 ms before its caller's timeout and cut off. The queue knew neither timeouts nor routes, so a flood of one route also took the room of the others of its priority.

Change: QueuedRequest carries the timeout of its route. AnswerableFirst, the order of agents, delivers requests that can still make their timeout first, by priority, with routes of one priority in turn and adaptive LIFO within a route. Every fourth delivery is reserved for a class with overdue requests that got none of the last three. The work time is a parameter of TakeNext(); the gate passes 0 (unknown). Empty classes are kept until the queue is empty, or a route could get ahead of its turn. The previous order is the lab's policy adaptive_lifo.

--- a/filberthollow/decision/flows/upstream_gate_requests.cc
+++ b/filberthollow/decision/flows/upstream_gate_requests.cc
@@ -8,6 +8,13 @@
 using flow::FlowEnds;
 using flow::PacketHeader;
 
+namespace {
+
+// The agent does not measure its upstream's work time yet.
+constexpr base::Millis kUnknownWork{0};
+
+}  // namespace
+
 bool UpstreamGate::AdvancesSequence(const Flow& flow,
                                     const PacketHeader& header) {
   uint32_t end = header.sequence + header.data_bytes;
@@ -36,11 +43,13 @@
   if (starts_request) {
     const CompiledRoute* route = m_routes->Find(header.destination);
     flow.queued_at = now;
-    m_queue.Add({.flow = header.FromCaller(),
-                 .priority = route == nullptr ? 0 : route->priority,
-                 .latency_goal =
-                     route == nullptr ? base::Millis(0) : route->latency_goal,
-                 .queued_at = now});
+    m_queue.Add(
+        {.flow = header.FromCaller(),
+         .priority = route == nullptr ? 0 : route->priority,
+         .latency_goal =
+             route == nullptr ? base::Millis(0) : route->latency_goal,
+         .queued_at = now,
+         .timeout = route == nullptr ? base::Millis(0) : route->timeout});
   }
   flow.last_used = now;
   flow.caller_acknowledged = header.acknowledged;
@@ -54,7 +63,7 @@
 void UpstreamGate::DeliverQueuedRequests(base::Millis now,
                                          GateActions& actions) {
   while (std::optional<FlowEnds> ends =
-             m_queue.TakeNext(m_meter.count(), now)) {
+             m_queue.TakeNext(m_meter.count(), now, kUnknownWork)) {
     auto found = m_flows.find(*ends);
     if (found == m_flows.end()) {
       continue;
@@ -65,7 +74,8 @@
 
 void UpstreamGate::DeliverAllRequests(base::Millis now, GateActions& actions) {
   constexpr uint32_t kNoneInFlight = 0;
-  while (std::optional<FlowEnds> ends = m_queue.TakeNext(kNoneInFlight, now)) {
+  while (std::optional<FlowEnds> ends =
+             m_queue.TakeNext(kNoneInFlight, now, kUnknownWork)) {
     if (auto found = m_flows.find(*ends); found != m_flows.end()) {
       DeliverRequest(*ends, found->second, now, actions);
     }
--- a/filberthollow/decision/load/request_queue.cc
+++ b/filberthollow/decision/load/request_queue.cc
@@ -4,57 +4,64 @@
 
 namespace filberthollow::decision::load {
 
-bool AdaptiveLifo::TakesNewest(const QueuedRequest& oldest,
-                               base::Millis now) const {
-  return (now - oldest.queued_at) * kGoalDivisor > oldest.latency_goal;
-}
-
 const QueueOrder& DefaultQueueOrder() {
-  static const AdaptiveLifo adaptive_lifo;
-  return adaptive_lifo;
+  static const AnswerableFirst answerable_first;
+  return answerable_first;
 }
 
 void RequestQueue::Add(const QueuedRequest& request) {
-  m_queued[request.priority].push_back(request);
+  m_classes[RequestClass::Of(request)].requests.push_back({request, ++m_added});
+  ++m_size;
 }
 
 void RequestQueue::Remove(const flow::FlowEnds& flow) {
-  for (auto& [priority, requests] : m_queued) {
-    std::erase_if(requests, [&flow](const QueuedRequest& request) {
-      return request.flow == flow;
-    });
+  for (auto& [request_class, queue] : m_classes) {
+    if (request_class.route != flow.route) {
+      continue;
+    }
+    auto found = std::find_if(
+        queue.requests.begin(), queue.requests.end(),
+        [&flow](const QueueEntry& e) { return e.request.flow == flow; });
+    if (found != queue.requests.end()) {
+      queue.requests.erase(found);
+      OnRemoved();
+      return;
+    }
   }
-  std::erase_if(m_queued,
-                [](const auto& entry) { return entry.second.empty(); });
 }
 
-std::optional<flow::FlowEnds> RequestQueue::TakeNext(uint32_t in_flight,
-                                                     base::Millis now) {
-  if (in_flight >= m_max_in_flight || m_queued.empty()) {
+void RequestQueue::Clear() {
+  m_classes.clear();
+  m_size = 0;
+}
+
+std::optional<flow::FlowEnds> RequestQueue::TakeNext(
+    uint32_t in_flight,
+    base::Millis now,
+    base::Millis expected_work) {
+  if (in_flight >= m_max_in_flight || m_size == 0) {
     return std::nullopt;
   }
-  auto first = m_queued.begin();
-  std::deque<QueuedRequest>& requests = first->second;
-  const QueuedRequest& oldest = requests.front();
-  bool newest = m_order->TakesNewest(oldest, now);
-  flow::FlowEnds flow = newest ? requests.back().flow : oldest.flow;
-  if (newest) {
-    requests.pop_back();
-  } else {
-    requests.pop_front();
-  }
-  if (requests.empty()) {
-    m_queued.erase(first);
-  }
+  QueueChoice choice = m_order->Choose({.classes = m_classes,
+                                        .now = now,
+                                        .expected_work = expected_work,
+                                        .delivered = m_delivered,
+                                        .last_reserved = m_last_reserved});
+  ClassQueue& queue = m_classes.at(choice.request_class);
+  auto chosen =
+      queue.requests.begin() + static_cast<std::ptrdiff_t>(choice.index);
+  flow::FlowEnds flow = chosen->request.flow;
+  queue.requests.erase(chosen);
+  queue.last_delivery = ++m_delivered;
+  m_last_reserved = choice.reserved ? m_delivered : m_last_reserved;
+  OnRemoved();
   return flow;
 }
 
-size_t RequestQueue::size() const {
-  size_t size = 0;
-  for (const auto& [priority, requests] : m_queued) {
-    size += requests.size();
+void RequestQueue::OnRemoved() {
+  if (--m_size == 0) {
+    m_classes.clear();
   }
-  return size;
 }
 
 }  // namespace filberthollow::decision::load
--- a/filberthollow/lab/baselines.cc
+++ b/filberthollow/lab/baselines.cc
@@ -87,21 +87,54 @@
   }
 };
 
+// Of the requests with the lowest priority value, finds the one that arrived
+// first or last.
+load::QueueChoice FindByArrival(const load::QueueView& view, bool newest) {
+  std::optional<load::QueueChoice> best;
+  uint64_t best_number = 0;
+  for (const auto& [request_class, queue] : view.classes) {
+    if (queue.requests.empty()) {
+      continue;
+    }
+    if (best && best->request_class.priority < request_class.priority) {
+      break;
+    }
+    size_t index = newest ? queue.requests.size() - 1 : 0;
+    uint64_t number = queue.requests[index].number;
+    if (!best || (newest ? number > best_number : number < best_number)) {
+      best = {request_class, index};
+      best_number = number;
+    }
+  }
+  return best.value_or(load::QueueChoice{});
+}
+
 // First come, first served.
 class Fifo final : public load::QueueOrder {
  public:
-  bool TakesNewest(const load::QueuedRequest& /*oldest*/,
-                   base::Millis /*now*/) const override {
-    return false;
+  load::QueueChoice Choose(const load::QueueView& view) const override {
+    return FindByArrival(view, false);
   }
 };
 
 // Last come, first served.
 class Lifo final : public load::QueueOrder {
  public:
-  bool TakesNewest(const load::QueuedRequest& /*oldest*/,
-                   base::Millis /*now*/) const override {
-    return true;
+  load::QueueChoice Choose(const load::QueueView& view) const override {
+    return FindByArrival(view, true);
+  }
+};
+
+// Adaptive LIFO within each priority, which ignores routes and timeouts: the
+// order of the product before AnswerableFirst.
+class AdaptiveLifo final : public load::QueueOrder {
+ public:
+  load::QueueChoice Choose(const load::QueueView& view) const override {
+    load::QueueChoice oldest = FindByArrival(view, false);
+    const load::ClassQueue& queue = view.classes.at(oldest.request_class);
+    return load::TakesNewest(queue.requests[oldest.index].request, view.now)
+               ? FindByArrival(view, true)
+               : oldest;
   }
 };
 
@@ -117,7 +150,8 @@
   static const load::SampledChoice sampled_3(least_work, 3);
   static const Fifo fifo;
   static const Lifo lifo;
-  static const std::array<Policy, 10> policies{{
+  static const AdaptiveLifo adaptive_lifo;
+  static const std::array<Policy, 11> policies{{
       {.name = kProductPolicy},
       {.name = "random", .choice = &random},
       {.name = "round_robin", .choice = &round_robin},
@@ -128,6 +162,7 @@
       {.name = "perfect", .choice = &least_loaded, .perfect_knowledge = true},
       {.name = "fifo", .order = &fifo},
       {.name = "lifo", .order = &lifo},
+      {.name = "adaptive_lifo", .order = &adaptive_lifo},
   }};
   return policies;
 }
