Lab patterns of a flood of one kind and of a peak with timeouts

Cause: no pattern had two routes of one priority or a route with a timeout.

Change: kinds of requests may state a timeout of their route (timeout_ms; 0, the default, as before). flood-of-one-kind and peak-with-timeouts, with tests that compare the product with the previous order (adaptive_lifo).

--- a/filberthollow/lab/fleet_model.cc
+++ b/filberthollow/lab/fleet_model.cc
@@ -40,6 +40,7 @@
                       .idempotent = kind.idempotent,
                       .priority = kind.priority,
                       .latency_goal_ms = kind.goal_ms,
+                      .timeout_ms = kind.timeout_ms,
                       .shares = {{kService, 1}}});
   }
   return std::make_shared<const flows::RouteTable>(1, tree, routes);
--- a/filberthollow/lab/lab_test.cc
+++ b/filberthollow/lab/lab_test.cc
@@ -96,6 +96,39 @@
   BOOST_TEST(Gain("overload-by-one-kind", "fifo").verdict == "better");
 }
 
+// Answers the pattern flood-of-one-kind: the flood took the room of the other
+// route of its priority, at a cost that the total worth does not show.
+BOOST_AUTO_TEST_CASE(FloodOfOneKindLeavesOtherKindsInTime) {
+  constexpr size_t kReads = 0;  // the flood
+  constexpr size_t kSearches = 1;
+  constexpr size_t kOrders = 2;
+  Pattern pattern = Named("flood-of-one-kind");
+  auto in_time = [](const Count& count) {
+    return static_cast<double>(count.in_goal) /
+           static_cast<double>(count.asked);
+  };
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    RunResult before = RunPattern(pattern, *FindPolicy("adaptive_lifo"), seed);
+    RunResult after = RunPattern(pattern, *FindPolicy(kProductPolicy), seed);
+    BOOST_TEST(in_time(before.kinds[kSearches]) < 0.93);
+    BOOST_TEST(in_time(after.kinds[kSearches]) > 0.97);
+    BOOST_TEST(in_time(after.kinds[kOrders]) > 0.98);
+    BOOST_TEST(in_time(after.kinds[kReads]) > 0.7);
+  }
+  BOOST_TEST(Gain("flood-of-one-kind", "adaptive_lifo").verdict != "worse");
+}
+
+// Answers the pattern peak-with-timeouts, and guards against an order that
+// answers old requests late in place of new ones in time. Without timeouts, the
+// order within and between priorities of one route each is that of before.
+BOOST_AUTO_TEST_CASE(PeakIsServedAsWellAsByAdaptiveLifo) {
+  BOOST_TEST(Gain("peak-with-timeouts", "adaptive_lifo").verdict != "worse");
+  BOOST_TEST(Gain("peak-with-timeouts", "fifo").verdict == "better");
+  for (const char* name : {"burst-of-3", "burst-of-1.7"}) {
+    BOOST_TEST(Gain(name, "adaptive_lifo").difference == 0.0);
+  }
+}
+
 // Answers the patterns of an overload, of many balancers and of a fleet that
 // starts anew: the least loaded upstream draws all new flows until its next
 // report.
--- a/filberthollow/lab/pattern.cc
+++ b/filberthollow/lab/pattern.cc
@@ -36,12 +36,13 @@
     {"delay_ms", &Pattern::delay_ms, 0, 500},
     {"loss_per_mille", &Pattern::loss_per_mille, 0, 500},
 }};
-constexpr std::array<NumberField<RequestKind>, 10> kKindFields{{
+constexpr std::array<NumberField<RequestKind>, 11> kKindFields{{
     {"per_second", &RequestKind::per_second, 0, 200'000},
     {"work_ms", &RequestKind::work_ms, 1, 60'000},
     {"spread_percent", &RequestKind::spread_percent, 0, 300},
     {"goal_ms", &RequestKind::goal_ms, 1, 60'000},
     {"deadline_ms", &RequestKind::deadline_ms, 1, 120'000},
+    {"timeout_ms", &RequestKind::timeout_ms, 0, 120'000},
     {"worth", &RequestKind::worth, 0, 10'000},
     {"late_worth", &RequestKind::late_worth, 0, 10'000},
     {"priority", &RequestKind::priority, 0, 100},
--- a/filberthollow/lab/pattern.h
+++ b/filberthollow/lab/pattern.h
@@ -25,6 +25,7 @@
   uint32_t spread_percent = 50;
   uint32_t goal_ms = 200;       // an answer within this time is in time
   uint32_t deadline_ms = 1000;  // the caller gives up
+  uint32_t timeout_ms = 0;      // that the route states; 0: none
   uint32_t worth = 100;         // of an answer in time
   uint32_t late_worth = 30;     // of a later one
   uint32_t priority = 1;
