--- a/filberthollow/decision/load/request_queue_test.cc
+++ b/filberthollow/decision/load/request_queue_test.cc
@@ -160,11 +160,10 @@
          request.queued_at + request.timeout - now >= work;
 }
 
-// Guards the rules of the order against any sequence of requests, deliveries
-// and removals: no request past saving before one that can be answered, no
-// route with more than its turn, urgent work first but for the reserved
-// deliveries, and no overdue route without a delivery for longer than its share
-// allows.
+// Guards against sequences of requests, deliveries and removals in which a
+// request past saving goes before one that can be answered, less urgent work
+// goes ahead outside the reserved deliveries, or an overdue route is passed
+// over for longer than its share allows.
 RC_BOOST_PROP(OrderKeepsItsRules, (std::vector<uint32_t> steps)) {
   constexpr uint16_t kRoutes = 4;  // two of priority 1, one of 2 and one of 3
   constexpr std::array<uint32_t, kRoutes> kPriorities{1, 1, 2, 3};
