--- a/filberthollow/decision/flows/upstream_gate.h
+++ b/filberthollow/decision/flows/upstream_gate.h
@@ -216,6 +216,9 @@
                     const Forward& forward,
                     const flow::PacketHeader& header,
                     base::Millis now);
+  // Returns the time from delivery to answer that the next request can expect:
+  // it shares the slots with those in flight. 0 if it is not known.
+  base::Millis ExpectedAnswerTime(base::Millis now) const;
   // Delivers queued requests until the upstream is at capacity.
   void DeliverQueuedRequests(base::Millis now, GateActions& actions);
   void DeliverRequest(const flow::FlowEnds& ends,
