Service of balancers that reads the operator's evacuations

The store's entries are the source of the list of evacuated data centres. The service watches them with a call of its own, where the settings state a bound for evacuations, and passes the list to the packets service. One object that can't be read no longer makes a whole answer of the store an error.

--- a/filberthollow/config/config_messages.h
+++ b/filberthollow/config/config_messages.h
@@ -1,4 +1,5 @@
-// The messages that the config service of a process accepts.
+// The messages that the config service of a process and the evacuations service
+// of a balancer accept.
 #ifndef FILBERTHOLLOW_CONFIG_CONFIG_MESSAGES_H_
 #define FILBERTHOLLOW_CONFIG_CONFIG_MESSAGES_H_
 
@@ -13,6 +14,8 @@
 
 // Name under which the config service is registered.
 inline constexpr const char* kConfigService = "config";
+// Name under which the evacuations service is registered.
+inline constexpr const char* kEvacuationService = "evacuations";
 
 // Reports that `peer` has configuration revision `revision`, which is newer
 // than that of this process.
@@ -55,6 +58,9 @@
                                    FleetSizeChanged,
                                    admin::ReportQuery>;
 
+// A message to the evacuations service.
+using EvacuationMessage = std::variant<FleetSizeChanged, admin::ReportQuery>;
+
 }  // namespace filberthollow::config
 
 #endif  // FILBERTHOLLOW_CONFIG_CONFIG_MESSAGES_H_
--- /dev/null
+++ b/filberthollow/config/evacuation_task.h
@@ -0,0 +1,88 @@
+// EvacuationTask is the evacuations service of a balancer. It watches the
+// operator's entries in the platform's object store and passes the list of
+// evacuated data centres to its listener. EvacuationEntries decides what the
+// list is.
+//
+// While the platform is unreachable, the last list stays in use. Failed calls
+// are retried, soon if the process has no list yet; see StoreRetry. The first
+// call after a failure is not held back by the store, as in FleetConfigTask.
+#ifndef FILBERTHOLLOW_CONFIG_EVACUATION_TASK_H_
+#define FILBERTHOLLOW_CONFIG_EVACUATION_TASK_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "filberthollow/config/config_messages.h"
+#include "filberthollow/config/evacuation_entries.h"
+#include "filberthollow/config/fleet_config_task.h"
+#include "filberthollow/config/store_retry.h"
+#include "filberthollow/metrics/metrics.h"
+#include "filberthollow/net/http_client.h"
+#include "filberthollow/net/loop_task.h"
+#include "filberthollow/platform/object_store.h"
+
+namespace filberthollow::config {
+
+// Called with the first list and with the list after each change of an entry,
+// also if the names are the same; see EvacuationChange::has_news. Runs on the
+// thread of the task, so it must not block.
+using EvacuationListener =
+    std::function<void(const decision::membership::EvacuationList&)>;
+
+struct EvacuationOptions {
+  StoreFactory store;
+  // The rate of reads that the store grants to this task in all balancers
+  // together.
+  uint32_t store_reads_per_second = 2000;
+  uint64_t seed = 0;  // of the jitter of retries
+};
+
+class EvacuationTask final : public net::LoopTask<EvacuationMessage> {
+ public:
+  // How long the platform may hold back the answer to a watch while there is no
+  // change (long polling).
+  static constexpr base::Millis kWatchWait{30'000};
+
+  EvacuationTask(const base::Clock& clock,
+                 kernel::Registry& registry,
+                 const EvacuationOptions& options,
+                 EvacuationListener listener);
+
+ protected:
+  void OnStart() override { Watch(base::Millis(0)); }
+  void OnMessage(const EvacuationMessage& message) override;
+
+ private:
+  void Handle(const FleetSizeChanged& m) { m_fleet_size = m.balancers; }
+  void Handle(const admin::ReportQuery& m);
+
+  // Returns whether a list is in force.
+  bool HasList() const { return m_entries.revision() > 0; }
+  // Asks the platform for changes. It answers at the first change, or after
+  // `wait`.
+  void Watch(base::Millis wait);
+  void OnWatched(const base::Result<platform::WatchAnswer>& answer);
+  // Asks the platform again after a failure.
+  void WatchAgain(const std::string& why);
+  // Logs the effect of an answer and passes the list to the listener.
+  void Publish(const EvacuationChange& change);
+  // Records whether the platform answers, and logs changes. `why` is the error
+  // if it does not.
+  void SetReachable(bool reachable, const std::string& why);
+
+  net::HttpClient m_client;
+  const std::unique_ptr<platform::ObjectStore> m_store;
+  const EvacuationListener m_listener;
+  StoreRetry m_retry;
+  EvacuationEntries m_entries;
+  // Whether to request all entries, since the last answer omitted a change.
+  bool m_relist = false;
+  size_t m_fleet_size = 1;
+  bool m_reachable = true;  // whether the last watch succeeded
+  metrics::Metrics m_metrics;
+};
+
+}  // namespace filberthollow::config
+
+#endif  // FILBERTHOLLOW_CONFIG_EVACUATION_TASK_H_
--- a/filberthollow/config/fleet_config_task.cc
+++ b/filberthollow/config/fleet_config_task.cc
@@ -129,7 +129,10 @@
   LogNewGeneration(answer->revision);
   RestoreBootstrapEntry(answer->revision);
   m_watched_revision = std::max(m_watched_revision, answer->revision);
-  Publish(answer->complete
+  m_metrics.Add("platform_objects_unreadable", answer->unreadable);
+  // An object that is missing may be the one that could not be read, so it is
+  // not taken as removed.
+  Publish(answer->complete && answer->unreadable == 0
               ? m_state.ApplyFullState(answer->objects, answer->revision)
               : m_state.Apply(answer->objects));
   Watch(kWatchWait);
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -314,6 +314,8 @@
     m_posted_fleet_size = size;
     Post(config::kConfigService,
          config::ConfigMessage(config::FleetSizeChanged{size}));
+    Post(config::kEvacuationService,
+         config::EvacuationMessage(config::FleetSizeChanged{size}));
   }
 }
 
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -98,7 +98,8 @@
   // Sends a hello to every known balancer and schedules the next one. Also
   // drops peers that have been silent for too long.
   void OnHelloTimer();
-  // Tells the config service the number of balancers, if it has changed.
+  // Tells the services that call the store the number of balancers, if it has
+  // changed.
   void PostFleetSize();
   // Sends a hello to `to`. `newcomer`, if set, is a balancer that has just
   // started; an agent that receives the hello reports to it immediately.
--- a/filberthollow/passthrough/messages.h
+++ b/filberthollow/passthrough/messages.h
@@ -12,6 +12,7 @@
 #include "filberthollow/decision/flows/packet_messages.h"
 #include "filberthollow/decision/flows/route_table.h"
 #include "filberthollow/decision/flows/upstream_life.h"
+#include "filberthollow/decision/membership/evacuations.h"
 #include "filberthollow/platform/object_store.h"
 
 namespace filberthollow::passthrough {
--- a/filberthollow/passthrough/node_process.cc
+++ b/filberthollow/passthrough/node_process.cc
@@ -6,6 +6,7 @@
 
 #include "filberthollow/admin/admin_task.h"
 #include "filberthollow/base/log.h"
+#include "filberthollow/config/evacuation_task.h"
 #include "filberthollow/daemon/daemon.h"
 #include "filberthollow/passthrough/agent_task.h"
 #include "filberthollow/passthrough/balancer_task.h"
@@ -94,7 +95,9 @@
       std::vector<admin::ReportSource>{
           admin::SourceFor<PacketsMessage>(registry, kPacketsService),
           admin::SourceFor<config::ConfigMessage>(registry,
-                                                  config::kConfigService)});
+                                                  config::kConfigService),
+          admin::SourceFor<config::EvacuationMessage>(
+              registry, config::kEvacuationService)});
   if (auto listening = admin->Listen(); !listening) {
     return daemon::FailWith("bind_failed", listening.error(),
                             daemon::kExitBindFailed);
@@ -140,19 +143,33 @@
   kernel.Add(std::make_unique<BalancerTask>(clock, kernel.registry(), settings,
                                             adapter,
                                             BalancerSockets{*callers, *peers}));
+  // Both services that call the store retry within its read rate together.
+  uint32_t reads_per_second = settings.platform_reads_per_second;
+  if (settings.evacuations) {
+    reads_per_second /= 2;
+    kernel.Add(std::make_unique<config::EvacuationTask>(
+        clock, kernel.registry(),
+        config::EvacuationOptions{.store = adapter.store,
+                                  .store_reads_per_second = reads_per_second,
+                                  .seed = std::random_device{}()},
+        [&registry = kernel.registry()](
+            const decision::membership::EvacuationList& list) {
+          registry.Post(kPacketsService,
+                        PacketsMessage(EvacuationsChanged{list}));
+        }));
+  }
   config::BootstrapEntry entry{.name = settings.name,
                                .data_centre = settings.data_centre,
                                .control = settings.peers,
                                .admin = settings.metrics,
                                .callers = settings.callers};
-  return RunServices(
-      kernel, clock, settings, adapter,
-      {.store = adapter.store,
-       .bootstrap_entry = entry,
-       .peer_fetch_delay = kBalancerConfigFetchDelay,
-       .store_reads_per_second = settings.platform_reads_per_second,
-       .read_snapshot = adapter.read_snapshot,
-       .seed = std::random_device{}()});
+  return RunServices(kernel, clock, settings, adapter,
+                     {.store = adapter.store,
+                      .bootstrap_entry = entry,
+                      .peer_fetch_delay = kBalancerConfigFetchDelay,
+                      .store_reads_per_second = reads_per_second,
+                      .read_snapshot = adapter.read_snapshot,
+                      .seed = std::random_device{}()});
 }
 
 int RunAgent(const settings::NodeSettings& settings,
--- a/filberthollow/platform/http_object_store.cc
+++ b/filberthollow/platform/http_object_store.cc
@@ -8,6 +8,9 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "filberthollow/base/log.h"
+#include "filberthollow/platform/object_json.h"
+
 namespace filberthollow::platform {
 namespace {
 
@@ -98,15 +101,8 @@
 // object is either the whole body or its field "object".
 uint64_t ParseRevision(const std::string& body) {
   json parsed = json::parse(body, nullptr, false);
-  const json* object = &parsed;
-  if (parsed.is_object() && parsed.contains("object")) {
-    object = &parsed["object"];
-  }
-  if (!object->is_object() || !object->contains("meta")) {
-    return 0;
-  }
-  const json& meta = (*object)["meta"];
-  return meta.is_object() ? meta.value("revision", uint64_t{0}) : 0;
+  const json* object = FindField(parsed, "object");
+  return FindRevision(object == nullptr ? parsed : *object);
 }
 
 }  // namespace
@@ -250,6 +246,58 @@
   });
 }
 
+void HttpObjectStore::LogUnreadable(const std::string& step,
+                                    size_t objects) const {
+  if (objects > 0) {
+    base::Log(
+        base::Level::kWarning, "objects_unreadable",
+        {{"step", step}, {"peer", m_server.Text()}, {"objects", objects}});
+  }
+}
+
+base::Result<std::string> HttpObjectStore::AddPage(
+    Listing& listing,
+    const std::string& after_name,
+    const std::string& step,
+    const net::HttpResult& result) const {
+  return ParseBody<std::string>(
+      result, step, m_server,
+      [&](const json& body) -> base::Result<std::string> {
+        // Pages may have different revisions. The lowest is reported, so that
+        // the next watch returns changes made while later pages were read.
+        uint64_t at = VersionOf(m_generation, body.at("at").get<uint64_t>());
+        uint64_t& revision = listing.answer.revision;
+        revision = revision == 0 ? at : std::min(revision, at);
+        std::string last_name;
+        size_t unreadable = 0;
+        for (const json& item : ArrayAt(body, "items")) {
+          auto object = ReadObject(item, at);
+          if (!object) {
+            ++unreadable;
+            continue;
+          }
+          last_name = object->name;
+          object->name = FromPlatformName(listing.prefix, object->name);
+          if (object->name.starts_with(listing.prefix)) {
+            listing.answer.objects.push_back(std::move(*object));
+          }
+        }
+        listing.answer.unreadable += unreadable;
+        LogUnreadable(step, unreadable);
+        if (!body.value("hasMore", false)) {
+          return std::string();
+        }
+        if (last_name.empty() || last_name == after_name) {
+          // The next page can't be requested, and in a partial list the other
+          // objects would look removed.
+          return base::MakeError(std::errc::protocol_error, step,
+                                 m_server.Text(),
+                                 "no object of a page has a readable name");
+        }
+        return last_name;
+      });
+}
+
 void HttpObjectStore::ListPage(const std::shared_ptr<Listing>& listing,
                                const std::string& after_name) {
   std::string query = after_name.empty() ? "" : "?after=" + after_name;
@@ -258,7 +306,7 @@
                            .timeout = kCallTimeout,
                            .max_response_bytes = kMaxAnswerBytes};
   std::string step = "list " + listing->prefix;
-  Start(request, [this, listing, step](const auto& result) {
+  Start(request, [this, listing, after_name, step](const auto& result) {
     if (result.kind != net::HttpResult::kAnswered ||
         result.status != net::kHttpOk) {
       listing->done(MakeFailure(result, step));
@@ -272,31 +320,11 @@
       ListPage(listing, "");
       return;
     }
-    std::string continue_after;
-    auto parsed =
-        ParseBody<base::Done>(result, step, m_server, [&](const json& body) {
-          // Pages may have different revisions. The lowest is reported, so that
-          // the next watch returns changes made while later pages were read.
-          uint64_t at = VersionOf(m_generation, body.at("at").get<uint64_t>());
-          uint64_t& revision = listing->answer.revision;
-          revision = revision == 0 ? at : std::min(revision, at);
-          for (const json& item : body.at("items")) {
-            StoredObject object =
-                ParseObject(listing->prefix, m_generation, item);
-            continue_after = ToPlatformName(object.name);
-            if (object.name.starts_with(listing->prefix)) {
-              listing->answer.objects.push_back(std::move(object));
-            }
-          }
-          if (!body.value("hasMore", false)) {
-            continue_after.clear();
-          }
-          return base::Done{};
-        });
-    if (!parsed) {
-      listing->done(parsed.error());
-    } else if (!continue_after.empty()) {
-      ListPage(listing, continue_after);
+    auto next = AddPage(*listing, after_name, step, result);
+    if (!next) {
+      listing->done(next.error());
+    } else if (!next->empty()) {
+      ListPage(listing, *next);
     } else {
       listing->done(listing->answer);
     }
@@ -341,17 +369,18 @@
     done(ParseBody<WatchAnswer>(result, step, m_server, [&](const json& body) {
       WatchAnswer answer{
           .revision = VersionOf(m_generation, body.at("at").get<uint64_t>())};
-      for (const json& event : body.at("events")) {
-        StoredObject object =
-            ParseObject(prefix, m_generation, event.at("object"));
-        if (event.value("removed", false)) {
-          object.value.reset();
-          object.version = std::max(object.version, answer.revision);
+      for (const json& event : ArrayAt(body, "events")) {
+        auto object = ReadChange(event, answer.revision);
+        if (!object) {
+          ++answer.unreadable;
+          continue;
         }
-        if (object.name.starts_with(prefix)) {
-          answer.objects.push_back(std::move(object));
+        object->name = FromPlatformName(prefix, object->name);
+        if (object->name.starts_with(prefix)) {
+          answer.objects.push_back(std::move(*object));
         }
       }
+      LogUnreadable(step, answer.unreadable);
       return answer;
     }));
   });
--- a/filberthollow/platform/http_object_store.h
+++ b/filberthollow/platform/http_object_store.h
@@ -72,6 +72,14 @@
     Handler<WatchAnswer> done;
   };
 
+  // AddPage adds a page to the list in progress. Returns the platform's name of
+  // the object after which the next page begins, or "" if the list is complete.
+  base::Result<std::string> AddPage(Listing& listing,
+                                    const std::string& after_name,
+                                    const std::string& step,
+                                    const net::HttpResult& result) const;
+  // LogUnreadable logs the number of objects in an answer that were skipped.
+  void LogUnreadable(const std::string& step, size_t objects) const;
   // ListPage requests the page after the platform's object `after_name` (empty
   // for the first page) and continues until the list is complete.
   void ListPage(const std::shared_ptr<Listing>& listing,
--- a/filberthollow/platform/object_store.h
+++ b/filberthollow/platform/object_store.h
@@ -8,6 +8,7 @@
 #ifndef FILBERTHOLLOW_PLATFORM_OBJECT_STORE_H_
 #define FILBERTHOLLOW_PLATFORM_OBJECT_STORE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -94,6 +95,9 @@
   // the changes since the revision that was asked for, also since it is of an
   // earlier generation of the store.
   bool complete = false;
+  // Number of objects or events that could not be read and are not among
+  // `objects`.
+  size_t unreadable = 0;
   friend bool operator==(const WatchAnswer&, const WatchAnswer&) = default;
 };
 
@@ -138,7 +142,9 @@
                       uint64_t if_version,
                       Handler<WriteAnswer> done) = 0;
   // Watch waits for changes and passes them to `done`. It reports once; call it
-  // again for later changes.
+  // again for later changes. An object without a readable name is skipped and
+  // counted. An object without a readable version gets the answer's, one
+  // without content the value "null".
   virtual void Watch(const WatchQuery& query, Handler<WatchAnswer> done) = 0;
 };
 
--- a/filberthollow/platform/operator_config.cc
+++ b/filberthollow/platform/operator_config.cc
@@ -95,7 +95,8 @@
 // Keeps only the operator's configuration, if it changed, and renames it to
 // kSnapshotObject.
 WatchAnswer ToSnapshotAnswer(const WatchAnswer& answer) {
-  WatchAnswer snapshot_answer{.revision = answer.revision};
+  WatchAnswer snapshot_answer{.revision = answer.revision,
+                              .unreadable = answer.unreadable};
   for (const StoredObject& object : answer.objects) {
     if (object.name == kOperatorConfig && object.value) {
       snapshot_answer.objects.push_back(object);
--- a/filberthollow/platform/platform_fleet.py
+++ b/filberthollow/platform/platform_fleet.py
@@ -35,6 +35,7 @@
 NET = f"127.{100 + os.getpid() // 200 % 100}.{os.getpid() % 200}"
 PORTS = {"peers": 21000, "packets": 21001, "outbound": 21002, "ready": 21003,
          "control": 21004, "app": 21005}
+METRICS_PORT = 9464  # Not in the settings file (node_settings.cc).
 
 
 def ip_number(text):
@@ -225,9 +226,13 @@
 
 
 class System:
-    """The stand-in platform, two balancers, and agents with upstreams."""
+    """The stand-in platform, two balancers, and agents with upstreams.
 
-    def __init__(self):
+    `extra_settings` are lines that each process's settings file gets, too.
+    """
+
+    def __init__(self, extra_settings=()):
+        self.extra_settings = list(extra_settings)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="filberthollow-"))
         self.balancers = [f"{NET}.10", f"{NET}.11"]
         self.platform = Process("platform", [
@@ -299,8 +304,16 @@
         """Returns the platform's store to its copy."""
         self._control_platform("/restore")
 
-    def _control_platform(self, path):
-        status, _ = self.call_platform(path, {}, "POST")
+    def compact_store(self):
+        """Makes the platform's store forget all changes so far."""
+        self._control_platform("/compact")
+
+    def set_platform_faults(self, **faults):
+        """Replaces the platform's faults (platform_task.h)."""
+        self._control_platform("/faults", faults)
+
+    def _control_platform(self, path, body=None):
+        status, _ = self.call_platform(path, body or {}, "POST")
         if status != 200:
             raise RuntimeError(f"POST {path} refused: {status}")
 
@@ -313,6 +326,40 @@
         text = self.call_platform(f"{OBJECTS}/filberthollow-bootstrap")[1]
         return {item["meta"]["name"] for item in json.loads(text)["items"]}
 
+    def evacuate(self, data_centre):
+        """Writes the entry that evacuates a data centre.
+
+        Returns the revision that the store gave it.
+        """
+        status, text = self.call_platform(
+            f"{OBJECTS}/evacuations",
+            {"meta": {"name": data_centre}, "spec": {}}, "POST")
+        if status != 201:
+            raise RuntimeError(f"evacuation refused: {status} {text}")
+        return json.loads(text)["meta"]["revision"]
+
+    def end_evacuation(self, data_centre):
+        """Removes the entry that evacuates a data centre."""
+        path = f"{OBJECTS}/evacuations/{data_centre}"
+        entry = json.loads(self.call_platform(path)[1])
+        revision = entry["meta"]["revision"]
+        status, text = self.call_platform(f"{path}?revision={revision}",
+                                          method="DELETE")
+        if status != 200:
+            raise RuntimeError(f"removal refused: {status} {text}")
+
+    def status_of(self, host):
+        """Returns the status page of a host's process, by service."""
+        return json.loads(http(f"{host}:{METRICS_PORT}", "/status")[1])
+
+    def metric(self, host, name):
+        """Returns the value of a metric at a host, or None."""
+        for line in http(f"{host}:{METRICS_PORT}",
+                         "/metrics")[1].splitlines():
+            if line.split(" ")[0] in (name, f"filberthollow_{name}"):
+                return int(float(line.split(" ")[1]))
+        return None
+
     def kill(self, host):
         """Kills the process of a host and waits for its end."""
         self.running[host].kill()
@@ -342,6 +389,7 @@
         if role == "agent":
             lines += [f"listenAddresses.outbound={host}:{PORTS['outbound']}",
                       f"app={host}:{PORTS['app']}", "service=desk"]
+        lines += self.extra_settings
         settings = self.folder / f"{host}.conf"
         replace_file(settings, "\n".join(lines) + "\n")
 
--- a/filberthollow/standins/platform_task.cc
+++ b/filberthollow/standins/platform_task.cc
@@ -1,7 +1,9 @@
 #include "filberthollow/standins/platform_task.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 #include <string_view>
@@ -40,11 +42,12 @@
     void (PlatformTask::*handle)(const net::HttpServerRequest&,
                                  const ResponderPtr&);
   };
-  static constexpr std::array<ControlCall, 4> kControlCalls{{
+  static constexpr std::array<ControlCall, 5> kControlCalls{{
       {"/faults", &PlatformTask::OnFaults},
       {"/calls", &PlatformTask::OnCalls},
       {"/copy", &PlatformTask::OnCopy},
       {"/restore", &PlatformTask::OnRestore},
+      {"/compact", &PlatformTask::OnCompact},
   }};
   for (const ControlCall& call : kControlCalls) {
     if (request.path == call.path) {
@@ -73,6 +76,10 @@
   m_faults.down = faults.value("down", false);
   m_faults.delay = base::Millis(faults.value("delay_ms", int64_t{0}));
   m_faults.lose_answers = faults.value("lose_answers", 0U);
+  m_faults.extra_objects.clear();
+  for (const json& object : faults.value("extra_objects", json::array())) {
+    m_faults.extra_objects.push_back(object.dump());
+  }
   if (m_faults.down) {
     AbortPendingWatches();
   }
@@ -100,11 +107,27 @@
     return;
   }
   m_contents = *m_copy;
+  m_oldest_revision = std::min(m_oldest_revision, m_contents.revision);
   ++m_era;
   AbortPendingWatches();
   responder->Respond({.body = "{}"});
 }
 
+void PlatformTask::OnCompact(const net::HttpServerRequest& /*request*/,
+                             const ResponderPtr& responder) {
+  m_oldest_revision = m_contents.revision;
+  std::erase_if(m_contents.objects,
+                [](const auto& entry) { return entry.second.deleted; });
+  m_pending_watches.remove_if([this](const PendingWatch& pending) {
+    bool gone = pending.after_revision < m_oldest_revision;
+    if (gone) {
+      Answer(pending.responder, {.status = net::kHttpGone, .body = "{}"});
+    }
+    return gone;
+  });
+  responder->Respond({.body = "{}"});
+}
+
 void PlatformTask::Answer(const ResponderPtr& responder,
                           net::HttpResponse response) const {
   response.headers.push_back({kEraHeader, std::to_string(m_era)});
@@ -154,7 +177,7 @@
 
 void PlatformTask::OnList(const std::string& kind,
                           const ResponderPtr& responder) {
-  std::string items;
+  std::string items = fmt::format("{}", fmt::join(m_faults.extra_objects, ","));
   for (const auto& [key, object] : m_contents.objects) {
     if (key.kind == kind && !object.deleted) {
       items += (items.empty() ? "" : ",") + ObjectJson(key, object);
@@ -207,7 +230,8 @@
                            const ResponderPtr& responder) {
   uint64_t after_revision = ParseNumber(request.Parameter("watch"));
   uint64_t wait = ParseNumber(request.Parameter("waitMs"));
-  if (after_revision > m_contents.revision) {
+  if (after_revision > m_contents.revision ||
+      after_revision < m_oldest_revision) {
     Answer(responder, {.status = net::kHttpGone, .body = "{}"});
     return;
   }
@@ -248,6 +272,12 @@
                             ObjectJson(key, object));
     }
   }
+  if (!events.empty()) {
+    for (const std::string& object : m_faults.extra_objects) {
+      events =
+          fmt::format(R"({{"removed":false,"object":{}}},{})", object, events);
+    }
+  }
   return fmt::format(R"({{"events":[{}],"at":{}}})", events,
                      m_contents.revision);
 }
--- a/filberthollow/standins/platform_task.h
+++ b/filberthollow/standins/platform_task.h
@@ -5,8 +5,12 @@
 // or writes that take effect while their answers are lost:
 //
 //   POST /faults {"down": true, "delay_ms": 50, "lose_answers": 2}
+//   POST /faults {"extra_objects": [{"meta": 7}]}
 //   GET  /calls  -> {"reads": n, "writes": n, "watches": n}
 //
+// Extra objects precede those of each list, and the changes in each answer to a
+// watch, of every kind.
+//
 // Each POST to /faults replaces all faults; a field left out means no such
 // fault.
 //
@@ -16,11 +20,14 @@
 //   POST /restore  returns to that copy, so that later revisions are given out
 //                  again, and aborts the watches that wait; 409 without a copy
 //
+//   POST /compact  forgets all changes so far: watches from earlier revisions
+//                  get 410, also those that wait
+//
 // Every answer of the object API has the header "Store-Era", which starts at 1
 // and rises by one with each restore. A watch from a revision that the store
 // does not have yet gets 410. GET /calls counts calls of the object API only.
 //
-// The four paths above are served during an outage too.
+// The five paths above are served during an outage too.
 #ifndef FILBERTHOLLOW_STANDINS_PLATFORM_TASK_H_
 #define FILBERTHOLLOW_STANDINS_PLATFORM_TASK_H_
 
@@ -29,6 +36,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "filberthollow/net/http_server.h"
 #include "filberthollow/net/loop_task.h"
@@ -85,6 +93,8 @@
     bool down = false;          // abort every object call
     base::Millis delay;         // before each object call is handled
     uint32_t lose_answers = 0;  // number of writes still to leave unanswered
+    // JSON texts of objects that are reported with the others.
+    std::vector<std::string> extra_objects;
   };
   struct Calls {
     uint64_t reads = 0;
@@ -105,6 +115,8 @@
               const ResponderPtr& responder);
   void OnRestore(const net::HttpServerRequest& request,
                  const ResponderPtr& responder);
+  void OnCompact(const net::HttpServerRequest& request,
+                 const ResponderPtr& responder);
   // Answers a call of the object API, with the era of the store.
   void Answer(const ResponderPtr& responder, net::HttpResponse response) const;
   void OnRead(const ObjectKey& key, const ResponderPtr& responder);
@@ -131,6 +143,7 @@
   Contents m_contents;
   std::optional<Contents> m_copy;
   uint64_t m_era = 1;
+  uint64_t m_oldest_revision = 0;  // from which changes are known
   std::list<PendingWatch> m_pending_watches;
   Faults m_faults;
   Calls m_calls;
