--- a/filberthollow/platform/evacuations_fleet_test.py
+++ b/filberthollow/platform/evacuations_fleet_test.py
@@ -10,7 +10,8 @@
 sys.path.insert(0, str(ROOT / "filberthollow/testing"))
 
 from fleet import events_of, wait_until  # noqa: E402
-from platform_fleet import ROUTE, System  # noqa: E402
+from platform_fleet import (  # noqa: E402
+    NET, OBJECTS, OPEN, RESET, ROUTE, System)
 
 EVACUATION_SECONDS = 5  # The platform's evacuationMs.
 SETTINGS = [f"bounds.evacuationMs={EVACUATION_SECONDS * 1000}"]
--- a/filberthollow/platform/object_json.cc
+++ b/filberthollow/platform/object_json.cc
@@ -15,9 +15,9 @@
 }
 
 const json::array_t& ArrayAt(const json& body, const char* name) {
-  static const json::array_t kEmpty;
+  static const json::array_t empty;
   const json& field = body.at(name);
-  return field.is_null() ? kEmpty : field.get_ref<const json::array_t&>();
+  return field.is_null() ? empty : field.get_ref<const json::array_t&>();
 }
 
 uint64_t FindRevision(const json& object) {
