--- a/filberthollow/platform/evacuations_fleet_test.py
+++ b/filberthollow/platform/evacuations_fleet_test.py
@@ -14,6 +14,7 @@
     NET, OBJECTS, OPEN, RESET, ROUTE, System)
 
 EVACUATION_SECONDS = 5  # The platform's evacuationMs.
+OPENING_SECONDS = 0.02  # Keeps the caller's ports from running out.
 SETTINGS = [f"bounds.evacuationMs={EVACUATION_SECONDS * 1000}"]
 REVISIONS_OF_AN_ERA = 1_000_000_000_000  # See object_store.h.
 # Objects without a readable name.
@@ -285,6 +286,7 @@
         while time.monotonic() < end:
             for balancer in system.balancers:
                 self.assertFalse(self.flags_of_open(balancer) & OPEN)
+            time.sleep(OPENING_SECONDS)
         for balancer in system.balancers:
             self.assert_refused_as_evacuated(balancer)
         self.assertEqual(self.upstream.opened, opened)
