--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "filberthollow/decision/load/opening_room.h"
+
 namespace filberthollow::decision::flows {
 namespace {
 
@@ -86,6 +88,14 @@
   return agents;
 }
 
+std::vector<UpstreamReport> FlowRouter::Reports() const {
+  std::vector<UpstreamReport> reports;
+  for (const auto& [address, agent] : m_agents) {
+    reports.push_back(agent.report);
+  }
+  return reports;
+}
+
 bool FlowRouter::OnReport(const UpstreamReport& report,
                           base::Address agent,
                           base::Millis now) {
@@ -206,7 +216,8 @@
     if (agent.report.service == service && !tried &&
         AcceptsNewFlows(agent, now)) {
       candidates.push_back({address, agent.report.data_centre,
-                            agent.report.load, agent.placed_since_load});
+                            agent.report.load, agent.placed_since_load,
+                            now - agent.load_reported_at});
     }
   }
   return candidates;
@@ -217,7 +228,8 @@
                            base::Millis now,
                            RouterActions& actions) {
   bool may_wait = offer.tried.empty() && now - m_started < kDiscoveryPeriod;
-  if (!HasRoutes() && may_wait) {
+  bool must_wait = m_evacuation_filter.MustWait(HasRoutes(), now);
+  if (offer.tried.empty() && (must_wait || (!HasRoutes() && may_wait))) {
     return true;
   }
   const CompiledRoute* route = m_routes->Find(ends.route);
@@ -230,8 +242,16 @@
   if (route != nullptr && offer.tried.size() < kMaxOffers) {
     candidates = CandidatesFor(route->ServiceFor(ends), offer, now);
   }
-  std::optional<size_t> best =
-      m_choice.Choose(candidates, {m_data_centre, flow::FlowEndsHash{}(ends)});
+  Reason reason = offer.refusal;
+  if (m_evacuation_filter.RemoveEvacuated(candidates)) {
+    reason = Reason::kEvacuated;
+  }
+  if (load::RemoveCandidatesWithoutRoom(candidates)) {
+    reason = Reason::kColdLimit;
+  }
+  load::ChoiceContext context{m_data_centre, flow::FlowEndsHash{}(ends),
+                              load::UsualWorkUs(candidates)};
+  std::optional<size_t> best = m_choice.Choose(candidates, context);
   if (!best && may_wait) {
     return true;
   }
@@ -239,9 +259,9 @@
     // An upstream that has not answered may have accepted the flow. The
     // caller retransmits its packet, and eventually gives up by itself.
     if (offer.any_unanswered) {
-      actions.emplace_back(DropPacket{Reason::kNoAgent});
+      actions.emplace_back(DropPacket{reason});
     } else {
-      actions.emplace_back(ResetCaller{ends, 0, Reason::kNoAgent});
+      actions.emplace_back(ResetCaller{ends, 0, reason});
     }
     return false;
   }
@@ -249,13 +269,15 @@
   offer.tried.push_back(offer.agent);
   offer.sent_at = now;
   Agent& agent = m_agents[offer.agent];
-  actions.emplace_back(OfferMade{.flow = ends,
-                                 .agent = offer.agent,
-                                 .tries = offer.tried.size(),
-                                 .candidates = candidates.size(),
-                                 .load = agent.report.load,
-                                 .load_age = now - agent.load_reported_at,
-                                 .placed_since_load = agent.placed_since_load});
+  actions.emplace_back(
+      OfferMade{.flow = ends,
+                .agent = offer.agent,
+                .tries = offer.tried.size(),
+                .candidates = candidates.size(),
+                .load = agent.report.load,
+                .load_age = now - agent.load_reported_at,
+                .placed_since_load = agent.placed_since_load,
+                .usual_work_us = static_cast<uint32_t>(context.usual_work_us)});
   ++agent.placed_since_load;
   actions.emplace_back(
       SendForward{offer.agent, NewForward(offer.packet, false)});
@@ -330,6 +352,10 @@
       // The upstream has the packet and may still accept the flow.
       offer->second.any_unanswered = true;
     }
+    if (current && (answer.reason == Reason::kColdLimit ||
+                    answer.reason == Reason::kEvacuated)) {
+      offer->second.refusal = answer.reason;
+    }
     if (current && !OfferNext(answer.flow, offer->second, now, actions)) {
       m_offers.erase(offer);
     }
--- a/filberthollow/decision/flows/packet_messages.h
+++ b/filberthollow/decision/flows/packet_messages.h
@@ -17,6 +17,7 @@
 #include "filberthollow/base/clock.h"
 #include "filberthollow/base/ids.h"
 #include "filberthollow/decision/load/upstream_load.h"
+#include "filberthollow/decision/membership/evacuations.h"
 #include "filberthollow/flow/packet.h"
 #include "filberthollow/flow/reason.h"
 
@@ -72,6 +73,10 @@
   // flows, so missing reports do not mean that the flows are lost.
   bool leaving = false;
   ReportConfirmation confirmation{};
+  // Revision of the list of evacuations that the agent has.
+  uint64_t evacuation_revision = 0;
+  // That list, if the balancer has an older one; otherwise empty.
+  membership::EvacuationList evacuations;
   friend bool operator==(const UpstreamReport&,
                          const UpstreamReport&) = default;
 };
@@ -87,6 +92,7 @@
   base::Address newcomer;
   // To an agent: whether the balancer has received a report of it.
   bool confirms_report = false;
+  membership::EvacuationList evacuations;  // the newest that the balancer has
   friend bool operator==(const BalancerHello&, const BalancerHello&) = default;
 };
 
--- a/filberthollow/decision/flows/upstream_gate_requests.cc
+++ b/filberthollow/decision/flows/upstream_gate_requests.cc
@@ -1,4 +1,5 @@
 // The part of UpstreamGate that counts requests in flight and queues requests.
+#include <algorithm>
 #include <utility>
 
 #include "filberthollow/decision/flows/upstream_gate.h"
@@ -8,6 +9,13 @@
 using flow::FlowEnds;
 using flow::PacketHeader;
 
+namespace {
+
+// The agent does not measure its upstream's work time yet.
+constexpr base::Millis kUnknownWork{0};
+
+}  // namespace
+
 bool UpstreamGate::AdvancesSequence(const Flow& flow,
                                     const PacketHeader& header) {
   uint32_t end = header.sequence + header.data_bytes;
@@ -36,11 +44,13 @@
   if (starts_request) {
     const CompiledRoute* route = m_routes->Find(header.destination);
     flow.queued_at = now;
-    m_queue.Add({.flow = header.FromCaller(),
-                 .priority = route == nullptr ? 0 : route->priority,
-                 .latency_goal =
-                     route == nullptr ? base::Millis(0) : route->latency_goal,
-                 .queued_at = now});
+    m_queue.Add(
+        {.flow = header.FromCaller(),
+         .priority = route == nullptr ? 0 : route->priority,
+         .latency_goal =
+             route == nullptr ? base::Millis(0) : route->latency_goal,
+         .queued_at = now,
+         .timeout = route == nullptr ? base::Millis(0) : route->timeout});
   }
   flow.last_used = now;
   flow.caller_acknowledged = header.acknowledged;
@@ -51,10 +61,19 @@
   return true;
 }
 
+base::Millis UpstreamGate::ExpectedAnswerTime(base::Millis now) const {
+  constexpr int64_t kMicrosPerMilli = 1000;
+  uint32_t slots = m_liveness.slots();
+  int64_t work_us = m_work.Measure(m_meter.count(), slots, now).work_us;
+  int64_t in_flight = int64_t{m_meter.count()} + 1;
+  return base::Millis(work_us * std::max<int64_t>(in_flight, slots) / slots /
+                      kMicrosPerMilli);
+}
+
 void UpstreamGate::DeliverQueuedRequests(base::Millis now,
                                          GateActions& actions) {
   while (std::optional<FlowEnds> ends =
-             m_queue.TakeNext(m_meter.count(), now)) {
+             m_queue.TakeNext(m_meter.count(), now, ExpectedAnswerTime(now))) {
     auto found = m_flows.find(*ends);
     if (found == m_flows.end()) {
       continue;
@@ -65,7 +84,8 @@
 
 void UpstreamGate::DeliverAllRequests(base::Millis now, GateActions& actions) {
   constexpr uint32_t kNoneInFlight = 0;
-  while (std::optional<FlowEnds> ends = m_queue.TakeNext(kNoneInFlight, now)) {
+  while (std::optional<FlowEnds> ends =
+             m_queue.TakeNext(kNoneInFlight, now, kUnknownWork)) {
     if (auto found = m_flows.find(*ends); found != m_flows.end()) {
       DeliverRequest(*ends, found->second, now, actions);
     }
@@ -94,6 +114,11 @@
   if (flow.request_pending == pending) {
     return;
   }
+  m_work.Advance(m_meter.count(), m_liveness.slots(), now);
+  if (m_liveness.ColdTimeLeft(now) > base::Millis(0)) {
+    // Else it would count as slow for some time after its cold start.
+    m_work.Clear(now);
+  }
   flow.request_pending = pending;
   flow.request_since = now;
   if (pending) {
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -30,7 +30,9 @@
           .data_centre = base::HashBytes(settings.data_centre),
           .first_start = settings.first_start,
           .flow_lifetime = settings.flow_lifetime,
-          .heartbeat_interval = settings.heartbeat_interval};
+          .heartbeat_interval = settings.heartbeat_interval,
+          .cold_bounds = {.overshoot = settings.cold_overshoot,
+                          .slack = settings.cold_slack}};
 }
 
 }  // namespace
@@ -41,6 +43,7 @@
                      const config::Adapter& adapter,
                      AgentSockets sockets)
     : PacketsTask(clock, registry, settings, adapter, std::move(sockets.peers)),
+      m_data_centre(settings.data_centre),
       m_upstream(settings.upstream),
       m_outbound(std::move(sockets.outbound)),
       m_gate(GateOptionsFrom(settings), clock.Now()) {}
@@ -77,6 +80,18 @@
   ReportToLiveBalancers();
 }
 
+void AgentTask::OnEvacuationsChanged() {
+  bool evacuated = m_evacuations.Contains(m_data_centre);
+  if (evacuated != m_gate.evacuated()) {
+    m_gate.SetEvacuated(evacuated, Now(), m_actions);
+    m_metrics.Set("own_data_centre_evacuated", evacuated ? 1 : 0);
+    base::Log(Level::kInfo, "own_data_centre_evacuated",
+              {{"evacuated", evacuated ? "yes" : "no"},
+               {"revision", m_evacuations.list().revision}});
+  }
+  ApplyActions();
+}
+
 void AgentTask::Handle(const BalancersFound& m) {
   std::vector<base::Address> added;
   for (base::Address balancer : m.balancers) {
@@ -158,6 +173,7 @@
 void AgentTask::Handle(const admin::ReportQuery& m) {
   m_metrics.Set("flows", m_gate.flows());
   m_metrics.Set("packets_wakeups", loop().wakeups());
+  m_metrics.Set("work_us", m_gate.Report(Now()).load.work_us);
   nlohmann::json status{{"revision", m_gate.revision()},
                         {"flows", m_gate.flows()},
                         {"balancers", m_balancers.size()}};
@@ -219,6 +235,8 @@
 void AgentTask::HandlePeerMessage(const decision::flows::BalancerHello& m,
                                   base::Address from) {
   NotifyIfNewerRevision(m.revision, m_gate.revision(), from);
+  m_balancer_evacuations[from] = m.evacuations.revision;
+  UpdateEvacuations(m.evacuations, from);
   bool has_started = m_balancers.OnHello(from, m.run, m.leaving, Now());
   if (m.confirms_report) {
     m_first_reports.OnConfirmed(from, Now());
@@ -300,6 +318,9 @@
              {"busy", note.load.in_flight},
              {"open", note.load.open_flows},
              {"slots", note.load.slots},
+             {"cold", note.cold ? "yes" : "no"},
+             {"cold_ms", note.load.cold_ms},
+             {"openings_left", note.load.openings_left},
              {"revision", m_gate.revision()}});
 }
 
@@ -372,6 +393,9 @@
 
 void AgentTask::OnDiscoveryTimer() {
   m_balancers.Forget(Now());
+  std::erase_if(m_balancer_evacuations, [this](const auto& entry) {
+    return !m_balancers.IsLive(entry.first, Now());
+  });
   SendReports(m_balancers.Silent(Now()));
   if (m_balancers.Live(Now()).empty()) {
     Post(config::kConfigService,
@@ -395,6 +419,12 @@
     report.confirmation = wanted
                               ? decision::flows::ReportConfirmation::kWanted
                               : decision::flows::ReportConfirmation::kReceived;
+    report.evacuation_revision = m_evacuations.list().revision;
+    auto balancer_has = m_balancer_evacuations.find(balancer);
+    bool is_behind = balancer_has != m_balancer_evacuations.end() &&
+                     balancer_has->second < report.evacuation_revision;
+    report.evacuations = is_behind ? m_evacuations.list()
+                                   : decision::membership::EvacuationList{};
     SendToPeer(report, balancer);
   }
 }
--- a/filberthollow/passthrough/messages.h
+++ b/filberthollow/passthrough/messages.h
@@ -12,6 +12,7 @@
 #include "filberthollow/decision/flows/packet_messages.h"
 #include "filberthollow/decision/flows/route_table.h"
 #include "filberthollow/decision/flows/upstream_life.h"
+#include "filberthollow/decision/membership/evacuations.h"
 #include "filberthollow/platform/object_store.h"
 
 namespace filberthollow::passthrough {
@@ -28,6 +29,13 @@
   friend bool operator==(const RoutesChanged&, const RoutesChanged&) = default;
 };
 
+// Carries the evacuated data centres as the store lists them.
+struct EvacuationsChanged {
+  decision::membership::EvacuationList list;
+  friend bool operator==(const EvacuationsChanged&,
+                         const EvacuationsChanged&) = default;
+};
+
 // Carries peer addresses of balancers, which may be outdated.
 struct BalancersFound {
   std::vector<base::Address> balancers;
@@ -63,6 +71,7 @@
 
 // A message to the packets service.
 using PacketsMessage = std::variant<RoutesChanged,
+                                    EvacuationsChanged,
                                     BalancersFound,
                                     HeartbeatReceived,
                                     HeartbeatMalformed,
