--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -34,6 +34,7 @@
 #include <vector>
 
 #include "filberthollow/decision/flows/evacuation_filter.h"
+#include "filberthollow/decision/flows/flow_search.h"
 #include "filberthollow/decision/flows/gate_actions.h"
 #include "filberthollow/decision/flows/locate_queue.h"
 #include "filberthollow/decision/flows/packet_messages.h"
@@ -312,32 +313,6 @@
     // Why the flow is refused if no upstream is left.
     flow::Reason refusal = flow::Reason::kNoAgent;
   };
-  // AgentAnswer is the state of one agent in a search.
-  struct AgentAnswer {
-    std::optional<Holding> holding;  // empty until the agent has answered
-    size_t probes_sent = 0;          // packets sent to it as probes
-  };
-  struct Search {
-    std::vector<std::string> packets;
-    uint32_t acknowledged = 0;
-    bool has_data = false;  // at least one packet carries data
-    bool repeated = false;  // questions without an answer were repeated
-    base::Millis started_at;
-    // When the last question or probe was or will be sent, at the latest.
-    base::Millis asked_at;
-    size_t likely_rounds = 0;  // of kLikelyRounds, those that were asked
-    bool route_asked = false;  // all agents of the route's services were asked
-    // Value of m_agents_added when all known agents were asked; empty before.
-    std::optional<uint64_t> agents_added_when_all_asked;
-    std::map<base::Address, AgentAnswer> asked;
-
-    size_t CountUnsure() const;
-    size_t CountUnanswered() const;
-    // Returns the number of asked agents for which `matches` returns true.
-    template <class Matches>
-    size_t CountAgents(Matches matches) const;
-    base::Address UndecidedAgent() const;
-  };
   // Notices whether this process was paused: it could not receive the messages
   // of agents, which may be read only after the caller's packets. Moves the
   // times at which agents were heard by the gap. Returns whether there was one.
@@ -375,11 +350,11 @@
   // Asks the next agents: those of the next likely round, or all of the route's
   // services, or all that remain. Returns false if there are none.
   bool AskNextAgents(const flow::FlowEnds& ends,
-                     Search& search,
+                     FlowSearch& search,
                      base::Millis now);
   // Asks the agents of the next of kLikelyRounds.
   void AskLikelyAgents(const flow::FlowEnds& ends,
-                       Search& search,
+                       FlowSearch& search,
                        base::Millis now);
   // Returns the agents to ask in a round, out of those of the service.
   std::vector<base::Address> LikelyAgents(const flow::FlowEnds& ends,
@@ -387,24 +362,26 @@
                                           const SearchRound& round) const;
   // Asks the agents of the route's services; none if there is no route.
   void AskRouteAgents(const flow::FlowEnds& ends,
-                      Search& search,
+                      FlowSearch& search,
                       base::Millis now);
   // Asks the agents that were not asked yet and for which `wanted` returns
   // true.
   template <class Wanted>
   void AskAgents(const flow::FlowEnds& ends,
-                 Search& search,
+                 FlowSearch& search,
                  Wanted wanted,
                  base::Millis now);
   // Asks all agents that were not asked yet; returns false if there are none.
   bool AskRemainingAgents(const flow::FlowEnds& ends,
-                          Search& search,
+                          FlowSearch& search,
                           base::Millis now);
   // Forwards the packets as probes to the agents that are unsure whether their
   // upstream holds the flow; returns false if all were sent before.
-  bool ForwardProbes(Search& search, base::Millis now, RouterActions& actions);
+  bool ForwardProbes(FlowSearch& search,
+                     base::Millis now,
+                     RouterActions& actions);
   // Repeats the questions to the agents that have not answered.
-  void RepeatQuestions(const flow::FlowEnds& ends, Search& search);
+  void RepeatQuestions(const flow::FlowEnds& ends, FlowSearch& search);
   // Sends the queued questions if the rate limit allows.
   void SendQuestions(base::Millis now, RouterActions& actions);
   // Records the load that came with an answer of the agent.
@@ -426,25 +403,25 @@
                    RouterActions& actions);
   // Continues a search once all expected answers have arrived, and concludes it
   // if there is nothing left to wait for.
-  void AdvanceSearch(ByFlow<Search>::iterator search,
+  void AdvanceSearch(ByFlow<FlowSearch>::iterator search,
                      base::Millis now,
                      RouterActions& actions);
   // Returns whether an asked agent that has an upstream has not answered.
-  bool AwaitsAnswer(const Search& search) const;
+  bool AwaitsAnswer(const FlowSearch& search) const;
   // Returns whether every asked agent has answered, has no upstream, or counts
   // as having lost its flows.
-  bool HasAllExpectedAnswers(const Search& search, base::Millis now) const;
+  bool HasAllExpectedAnswers(const FlowSearch& search, base::Millis now) const;
   // Asks the next agents, or else forwards probes. Returns whether the
   // search is over: it is not while a question or probe was just sent, an
   // upstream may still answer a probe, or an agent not yet discovered may hold
   // the flow.
   bool TakeNextSearchStep(const flow::FlowEnds& ends,
-                          Search& search,
+                          FlowSearch& search,
                           base::Millis now,
                           RouterActions& actions);
   // Resets the flow or drops its packets after a search that found no agent.
   void ConcludeSearch(const flow::FlowEnds& ends,
-                      const Search& search,
+                      const FlowSearch& search,
                       base::Millis now,
                       RouterActions& actions);
   // Makes the next offer for flows whose offer has timed out or waits for an
@@ -492,7 +469,7 @@
   uint64_t m_agents_added = 0;  // number of agents ever added to m_agents
   ByFlow<KnownFlow> m_known_flows;
   ByFlow<Offer> m_offers;
-  ByFlow<Search> m_searches;
+  ByFlow<FlowSearch> m_searches;
   LocateQueue m_questions;
   EvacuationFilter m_evacuation_filter;
   base::Millis m_last_tick;
--- a/filberthollow/decision/flows/flow_router_searches.cc
+++ b/filberthollow/decision/flows/flow_router_searches.cc
@@ -11,25 +11,25 @@
 using flow::PacketHeader;
 using flow::Reason;
 
-size_t FlowRouter::Search::CountUnsure() const {
+size_t FlowSearch::CountUnsure() const {
   return std::count_if(asked.begin(), asked.end(), [](const auto& entry) {
     return entry.second.holding == Holding::kUnsure;
   });
 }
 
-size_t FlowRouter::Search::CountUnanswered() const {
+size_t FlowSearch::CountUnanswered() const {
   return std::count_if(asked.begin(), asked.end(),
                        [](const auto& entry) { return !entry.second.holding; });
 }
 
 template <class Matches>
-size_t FlowRouter::Search::CountAgents(Matches matches) const {
+size_t FlowSearch::CountAgents(Matches matches) const {
   return std::count_if(
       asked.begin(), asked.end(),
       [&matches](const auto& entry) { return matches(entry.first); });
 }
 
-base::Address FlowRouter::Search::UndecidedAgent() const {
+base::Address FlowSearch::UndecidedAgent() const {
   base::Address undecided;
   for (const auto& [address, answer] : asked) {
     if (answer.holding == Holding::kUnsure) {
@@ -54,13 +54,13 @@
       actions.emplace_back(DropPacket{Reason::kNotReady});
       return;
     }
-    Search search{.acknowledged = header.acknowledged,
-                  .started_at = now,
-                  .asked_at = now};
+    FlowSearch search{.acknowledged = header.acknowledged,
+                      .started_at = now,
+                      .asked_at = now};
     AskNextAgents(ends, search, now);
     found = m_searches.emplace(ends, std::move(search)).first;
   }
-  Search& search = found->second;
+  FlowSearch& search = found->second;
   search.acknowledged = header.acknowledged;
   search.has_data = search.has_data || header.data_bytes > 0;
   bool duplicate = std::find(search.packets.begin(), search.packets.end(),
@@ -72,7 +72,7 @@
 }
 
 bool FlowRouter::AskNextAgents(const FlowEnds& ends,
-                               Search& search,
+                               FlowSearch& search,
                                base::Millis now) {
   size_t before = search.asked.size();
   while (search.asked.size() == before &&
@@ -86,7 +86,7 @@
 }
 
 void FlowRouter::AskLikelyAgents(const FlowEnds& ends,
-                                 Search& search,
+                                 FlowSearch& search,
                                  base::Millis now) {
   const SearchRound& round = kLikelyRounds.at(search.likely_rounds++);
   const CompiledRoute* route = m_routes->Find(ends.route);
@@ -135,7 +135,7 @@
 }
 
 void FlowRouter::AskRouteAgents(const FlowEnds& ends,
-                                Search& search,
+                                FlowSearch& search,
                                 base::Millis now) {
   search.route_asked = true;
   const CompiledRoute* route = m_routes->Find(ends.route);
@@ -152,7 +152,7 @@
 
 template <class Wanted>
 void FlowRouter::AskAgents(const FlowEnds& ends,
-                           Search& search,
+                           FlowSearch& search,
                            Wanted wanted,
                            base::Millis now) {
   for (const auto& [address, agent] : m_agents) {
@@ -165,7 +165,7 @@
 }
 
 bool FlowRouter::AskRemainingAgents(const FlowEnds& ends,
-                                    Search& search,
+                                    FlowSearch& search,
                                     base::Millis now) {
   if (search.agents_added_when_all_asked == m_agents_added) {
     return false;
@@ -179,7 +179,7 @@
   return search.asked.size() > before;
 }
 
-bool FlowRouter::ForwardProbes(Search& search,
+bool FlowRouter::ForwardProbes(FlowSearch& search,
                                base::Millis now,
                                RouterActions& actions) {
   bool probed = false;
@@ -209,7 +209,7 @@
   if (found == m_searches.end()) {
     return;
   }
-  Search& search = found->second;
+  FlowSearch& search = found->second;
   actions.emplace_back(
       FlowFound{ends, agent, search.asked.size(), now - search.started_at});
   for (size_t i = search.asked[agent].probes_sent; i < search.packets.size();
@@ -229,7 +229,7 @@
   }
 }
 
-void FlowRouter::RepeatQuestions(const FlowEnds& ends, Search& search) {
+void FlowRouter::RepeatQuestions(const FlowEnds& ends, FlowSearch& search) {
   search.repeated = true;
   for (const auto& [address, asked] : search.asked) {
     if (!asked.holding) {
@@ -267,7 +267,7 @@
   AdvanceSearch(found, now, actions);
 }
 
-void FlowRouter::AdvanceSearch(ByFlow<Search>::iterator search,
+void FlowRouter::AdvanceSearch(ByFlow<FlowSearch>::iterator search,
                                base::Millis now,
                                RouterActions& actions) {
   const auto& [ends, state] = *search;
@@ -278,14 +278,14 @@
   }
 }
 
-bool FlowRouter::AwaitsAnswer(const Search& search) const {
+bool FlowRouter::AwaitsAnswer(const FlowSearch& search) const {
   return std::any_of(
       search.asked.begin(), search.asked.end(), [this](const auto& entry) {
         return !entry.second.holding && !HasNoUpstream(entry.first);
       });
 }
 
-bool FlowRouter::HasAllExpectedAnswers(const Search& search,
+bool FlowRouter::HasAllExpectedAnswers(const FlowSearch& search,
                                        base::Millis now) const {
   return std::all_of(
       search.asked.begin(), search.asked.end(), [&](const auto& entry) {
@@ -295,7 +295,7 @@
 }
 
 bool FlowRouter::TakeNextSearchStep(const FlowEnds& ends,
-                                    Search& search,
+                                    FlowSearch& search,
                                     base::Millis now,
                                     RouterActions& actions) {
   while (AskNextAgents(ends, search, now)) {
@@ -313,7 +313,7 @@
 }
 
 void FlowRouter::ConcludeSearch(const FlowEnds& ends,
-                                const Search& search,
+                                const FlowSearch& search,
                                 base::Millis now,
                                 RouterActions& actions) {
   bool complete = !search.asked.empty();
@@ -354,7 +354,7 @@
 void FlowRouter::TickSearches(base::Millis now, RouterActions& actions) {
   for (auto found = m_searches.begin(); found != m_searches.end();) {
     const FlowEnds& ends = found->first;
-    Search& search = found->second;
+    FlowSearch& search = found->second;
     if (!KnowsAllAgents(now) && search.agents_added_when_all_asked) {
       AskRemainingAgents(ends, search, now);  // agents discovered since
     }
