--- a/filberthollow/config/evacuation_entries_test.cc
+++ b/filberthollow/config/evacuation_entries_test.cc
@@ -9,6 +9,10 @@
 namespace filberthollow::config {
 namespace {
 
+std::string EntryName(const std::string& data_centre) {
+  return platform::kEvacuationPrefix + data_centre;
+}
+
 using decision::membership::kMaxDataCentreBytes;
 using decision::membership::kMaxEvacuations;
 using platform::StoredObject;
@@ -97,7 +101,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(ContentIsNotInterpreted, Fixture) {
-  StoredObject odd{"evacuations/west", kFirst + 1, "null"};
+  StoredObject odd{EntryName("west"), kFirst + 1, "null"};
   Apply({.revision = kFirst + 1, .objects = {odd}});
   BOOST_TEST((entries.List().data_centres == Names{"east", "west"}));
 }
--- a/filberthollow/config/evacuation_task_test.cc
+++ b/filberthollow/config/evacuation_task_test.cc
@@ -1,6 +1,7 @@
 #include "filberthollow/config/evacuation_task.h"
 
 #include <boost/test/unit_test.hpp>
+#include <string>
 
 #include <functional>
 #include <memory>
@@ -12,6 +13,10 @@
 namespace filberthollow::config {
 namespace {
 
+std::string EntryName(const std::string& data_centre) {
+  return platform::kEvacuationPrefix + data_centre;
+}
+
 using decision::membership::EvacuationList;
 using platform::StoredObject;
 using platform::VersionOf;
@@ -103,13 +108,13 @@
 }
 
 const base::Error kUnreachable =
-    base::MakeError(std::errc::connection_aborted, "watch evacuations/", "a:1");
+    base::MakeError(std::errc::connection_aborted, "watch", "a:1");
 
 BOOST_AUTO_TEST_CASE(ListenerGetsTheFirstListAndEachChange) {
   Run run({WatchAnswer{.revision = kFirst, .complete = true},
            WatchAnswer{.revision = kFirst + 3},
            WatchAnswer{.revision = kFirst + 4,
-                       .objects = {{"evacuations/east", kFirst + 4, "{}"}}}});
+                       .objects = {{EntryName("east"), kFirst + 4, "{}"}}}});
   BOOST_TEST((run.lists == std::vector<EvacuationList>{
                                {kFirst, {}}, {kFirst + 4, {"east"}}}));
   BOOST_TEST((run.queries ==
@@ -154,7 +159,7 @@
 // removal could not be read.
 BOOST_AUTO_TEST_CASE(UnreadableEventIsFollowedByACompleteList) {
   WatchAnswer first{.revision = kFirst,
-                    .objects = {{"evacuations/east", kFirst, "{}"}},
+                    .objects = {{EntryName("east"), kFirst, "{}"}},
                     .complete = true};
   Run run(
       {first, WatchAnswer{.revision = kFirst + 1, .unreadable = 1},
@@ -170,7 +175,7 @@
 
 BOOST_AUTO_TEST_CASE(ReportShowsTheEntries) {
   Run run({WatchAnswer{.revision = kFirst,
-                       .objects = {{"evacuations/east", kFirst - 2, "{}"}},
+                       .objects = {{EntryName("east"), kFirst - 2, "{}"}},
                        .complete = true}});
   BOOST_TEST(run.report.query_id == 3U);
   BOOST_TEST(run.report.service == kEvacuationService);
--- a/filberthollow/operator/evacuation_command_test.cc
+++ b/filberthollow/operator/evacuation_command_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
+#include <string>
 
 #include "filberthollow/decision/membership/evacuations.h"
 #include "filberthollow/operator/commands.h"
@@ -11,6 +12,10 @@
 namespace filberthollow::operator_tool {
 namespace {
 
+std::string EntryName(const std::string& data_centre) {
+  return platform::kEvacuationPrefix + data_centre;
+}
+
 using nlohmann::json;
 using platform::VersionOf;
 
@@ -54,12 +59,11 @@
 // Guards against an object that is gone or has no name being taken for an
 // evacuated data centre, and against a dependency on the content.
 BOOST_AUTO_TEST_CASE(EntriesAreNamedByTheirObjects) {
-  auto entries =
-      ReadEvacuationEntries({{"evacuations/south-2", 60, "{}"},
-                             {"evacuations/north-1", 57, "[1]"},
-                             {"evacuations/west-1", 61, std::nullopt},
-                             {"evacuations/", 62, "{}"},
-                             {"config/keys", 63, "{}"}});
+  auto entries = ReadEvacuationEntries({{EntryName("south-2"), 60, "{}"},
+                                        {EntryName("north-1"), 57, "[1]"},
+                                        {EntryName("west-1"), 61, std::nullopt},
+                                        {EntryName(""), 62, "{}"},
+                                        {"config/keys", 63, "{}"}});
   BOOST_TEST((entries ==
               std::vector<EvacuationEntry>{{"north-1", 57}, {"south-2", 60}}));
 }
