--- a/filberthollow/settings/routes.cc
+++ b/filberthollow/settings/routes.cc
@@ -104,7 +104,7 @@
                                         const std::string& path) {
   ColdLimits limits;
   for (const auto& [service, limit] : value.items()) {
-    auto read = ReadColdLimit(limit, path + "." + service);
+    auto read = ReadColdLimit(limit, fmt::format("{}.{}", path, service));
     if (!read) {
       return read.error();
     }
