--- a/review/standins2.py
+++ b/review/standins2.py
@@ -92,14 +92,15 @@
     """The platform's metadata store (PROTOCOL.md).
 
     Balancers call it at `address`, agents at `agents_address`, so that it can be
-    silent to the balancers only: while `silent` is set, none of their calls is
-    answered, and a connection whose answer is lost returns nothing further.
+    silent to the ones and serve the others: while `silent` holds "balancer" or
+    "agent", none of their calls is answered, and a connection whose answer is
+    lost returns nothing further.
     """
 
     HISTORY_S = 20
 
     def __init__(self, address, agents_address):
-        self.silent = False
+        self.silent = ""
         self.lost_answers = 0
         self.objects = {}  # (kind, name) -> object
         self.events = []  # (revision, time, kind, event)
@@ -126,7 +127,9 @@
                 body = json.loads(self.rfile.read(length)) if length else {}
                 try:
                     status, answer = store.call(self.command, self.path, body)
-                    if store.silent and self.server is store.servers[0]:
+                    role = ("balancer" if self.server is store.servers[0]
+                            else "agent")
+                    if role == store.silent:
                         store.lost_answers += 1
                         self.connection.recv(1)  # until the caller closes it
                         self.close_connection = True
