--- a/review/standins2.py
+++ b/review/standins2.py
@@ -224,6 +224,7 @@
         self.host, self.service, self.identifier = host, service, identifier
         self.record = record
         self.born = int(time.time() * 1000)
+        self.state = "ready"
         self.sequence = 0
         self.flows = {}  # flow -> [own seq, next seq of the client, open]
         self.runs = []
@@ -255,7 +256,7 @@
         self.sequence += 1
         return {"service": self.service, "zone": "riga-a", "version": "v1",
                 "address": f"{self.host}:{PORTS['app']}", "slots": 4,
-                "state": "ready", "coldRemainingMs": 0, "born": self.born,
+                "state": self.state, "coldRemainingMs": 0, "born": self.born,
                 "sequence": self.sequence}
 
     def send_heartbeat(self, body, timeout=1.0):
