Agents refuse new flows that are meant for another service

The address of an upstream that had ended went to an upstream of another service, whose agent had no configuration: its seed was stale, and the store turned it away. It took new flows of the service that had the address before, and its upstream ran their requests.

Cause: an agent checks a new flow against its own configuration, and trusts the balancer's choice if it has none or an older one. The balancer chooses by the last report from an address. It does not tell which service it has chosen, so the agent could not see that the report was another agent's. The balancer's entry of the ended agent had come back to life by the answer of the new agent to a Locate (agent_heard, "unheard_ms":1).

Ruled out: a wrong route or configuration at the balancer (its offers were right for the agent that it took for the ended one); the new agent's heartbeats (its state and service were right); a lost report: the agent knew no balancer to send one to.

Changed: an offer names the service that it is meant for. An agent whose configuration is missing or older than the balancer's refuses offers for another service. Balancers of the previous release name none: their offers are refused by such an agent until they have confirmed a report that this agent has sent. A refused offer goes to the next upstream, as before. No message is added; an agent with a configuration that is at least as new decides as before.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -54,8 +54,10 @@
   if (auto known = m_known_flows.find(ends); known != m_known_flows.end()) {
     // A duplicate: the acceptance was lost on its way to the caller.
     known->second.last_used = now;
+    auto service =
+        route != nullptr ? route->ServiceFor(ends) : base::ServiceId();
     actions.emplace_back(SendForward{known->second.agent,
-                                     NewForward(std::string(packet), false)});
+                                     NewOffer(std::string(packet), service)});
     return;
   }
   if (m_offers.contains(ends)) {
@@ -141,8 +143,8 @@
                 .placed_since_load = agent.placed_since_load,
                 .usual_work_us = static_cast<uint32_t>(context.usual_work_us)});
   ++agent.placed_since_load;
-  actions.emplace_back(
-      SendForward{offer.agent, NewForward(offer.packet, false)});
+  actions.emplace_back(SendForward{
+      offer.agent, NewOffer(offer.packet, route->ServiceFor(ends))});
   return true;
 }
 
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -456,8 +456,17 @@
   // again. Removes silent agents without an upstream instead.
   void NoteSilence(base::Millis now, RouterActions& actions);
   bool AcceptsNewFlows(const Agent& agent, base::Millis now) const;
+  // Returns the message that carries a packet of an open flow.
   Forward NewForward(std::string packet, bool probe) const {
-    return {m_routes->revision(), probe, std::move(packet)};
+    return {.revision = m_routes->revision(),
+            .probe = probe,
+            .packet = std::move(packet)};
+  }
+  // Returns the message that offers a new flow to an upstream of `service`.
+  Forward NewOffer(std::string packet, base::ServiceId service) const {
+    return {.revision = m_routes->revision(),
+            .service = service,
+            .packet = std::move(packet)};
   }
 
   const uint64_t m_data_centre;
--- a/filberthollow/decision/flows/flow_router_test.cc
+++ b/filberthollow/decision/flows/flow_router_test.cc
@@ -102,6 +102,21 @@
   BOOST_TEST(ActionsOfType<DropPacket>(end).size() == 1U);
 }
 
+// An agent at an address that another one had before refuses what is not meant
+// for its service, also if it has no configuration.
+BOOST_FIXTURE_TEST_CASE(OfferNamesTheServiceThatWasChosen, Fixture) {
+  WaitForDiscovery({kFirstAgent});
+  auto offer = ActionsOfType<SendForward>(FromCaller(Opening())).at(0);
+  BOOST_TEST((offer.message.service == testing::kDesk));
+  Answer(kFirstAgent, Holding::kHeld);
+  auto copy =
+      ActionsOfType<SendForward>(FromCaller(Opening(testing::kDeskRoute, 1)))
+          .at(0);
+  BOOST_TEST((copy.message.service == testing::kDesk));
+  auto data = ActionsOfType<SendForward>(FromCaller(Data(101, 500))).at(0);
+  BOOST_TEST((data.message.service == base::ServiceId{}));
+}
+
 BOOST_FIXTURE_TEST_CASE(DuplicateOpeningPacketMakesNoSecondOffer, Fixture) {
   WaitForDiscovery({kFirstAgent, kSecondAgent});
   FromCaller(Opening());
--- a/filberthollow/decision/flows/gate_actions.h
+++ b/filberthollow/decision/flows/gate_actions.h
@@ -58,9 +58,19 @@
 // The following actions are events for logs and metrics. They report a decision
 // and its inputs.
 
+// Offerer is the balancer that offered a new flow, and what its offer says of
+// the service.
+struct Offerer {
+  base::Address balancer;
+  uint64_t revision = 0;      // of the balancer's configuration
+  base::ServiceId service{};  // that the balancer chose; none if not stated
+  bool has_report = false;    // as in ForwardSource
+  friend bool operator==(const Offerer&, const Offerer&) = default;
+};
 // OfferDecided: a new flow was accepted or refused.
 struct OfferDecided {
   flow::FlowEnds flow;
+  Offerer offerer;
   bool accepted = false;
   flow::Reason reason{};  // only if the flow was refused
   UpstreamState state{};
--- a/filberthollow/decision/flows/packet_messages.h
+++ b/filberthollow/decision/flows/packet_messages.h
@@ -123,10 +123,23 @@
   // answered Holding::kUnsure. The agent delivers the packet to find out if its
   // upstream holds the flow.
   bool probe = false;
+  // Of a new flow: the service that the balancer chose for it, and which it
+  // takes the agent's upstream to be of. Default: none, which is also what
+  // balancers of the previous release state.
+  base::ServiceId service{};
   std::string packet;
   friend bool operator==(const Forward&, const Forward&) = default;
 };
 
+// ForwardSource is the balancer that sent a Forward, as its receiver knows it.
+struct ForwardSource {
+  base::Address balancer;
+  // Whether the balancer has confirmed a report of this agent, and so knows the
+  // service of its upstream.
+  bool has_report = false;
+  friend bool operator==(const ForwardSource&, const ForwardSource&) = default;
+};
+
 // FlowQuestion asks whether an upstream holds a flow.
 struct FlowQuestion {
   flow::FlowEnds flow;
--- a/filberthollow/decision/flows/upstream_gate.cc
+++ b/filberthollow/decision/flows/upstream_gate.cc
@@ -87,11 +87,11 @@
 
 void UpstreamGate::OnForward(const Forward& forward,
                              const PacketHeader& header,
-                             base::Address balancer,
+                             const ForwardSource& source,
                              base::Millis now,
                              GateActions& actions) {
   if (header.AsksToOpen()) {
-    OnOpeningPacket(forward, header, balancer, now, actions);
+    OnOpeningPacket(forward, header, source, now, actions);
     return;
   }
   FlowEnds ends = header.FromCaller();
@@ -99,13 +99,13 @@
   bool deliver = holding == Holding::kHeld ||
                  (holding == Holding::kUnsure && forward.probe);
   if (!deliver) {
-    SendAnswer(balancer, ends, holding, Reason::kNoSuchFlow, forward.packet,
-               now, actions);
+    SendAnswer(source.balancer, ends, holding, Reason::kNoSuchFlow,
+               forward.packet, now, actions);
     return;
   }
   if (auto found = m_flows.find(ends);
       found != m_flows.end() && found->second.accepted) {
-    found->second.balancer = balancer;
+    found->second.balancer = source.balancer;
     if (BufferIfFull(found->second, forward, header, now)) {
       if (header.finishes) {
         // A caller that finishes while its request is queued has given up. The
@@ -118,7 +118,7 @@
     }
     RecordCallerPacket(found->second, header, now);
   } else {
-    m_probes.Begin(ends, {balancer, forward.packet}, now);
+    m_probes.Begin(ends, {source.balancer, forward.packet}, now);
   }
   actions.emplace_back(DeliverToUpstream{forward.packet});
 }
@@ -219,7 +219,8 @@
   }
   if (newly_accepted && !added) {
     SendAnswer(flow.balancer, ends, Holding::kHeld, {}, "", now, actions);
-    ReportOffer(ends, std::nullopt, now - flow.offered_at, now, actions);
+    ReportOffer(ends, flow.offerer, std::nullopt, now - flow.offered_at, now,
+                actions);
   }
   actions.emplace_back(DeliverToCaller{ends.caller, std::string(packet)});
 }
--- a/filberthollow/decision/flows/upstream_gate.h
+++ b/filberthollow/decision/flows/upstream_gate.h
@@ -21,7 +21,7 @@
 // that order.
 //
 //   GateActions actions;
-//   gate.OnForward(forward, header, balancer, now, actions);
+//   gate.OnForward(forward, header, source, now, actions);
 //   for (const GateAction& action : actions) { ... }
 #ifndef FILBERTHOLLOW_DECISION_FLOWS_UPSTREAM_GATE_H_
 #define FILBERTHOLLOW_DECISION_FLOWS_UPSTREAM_GATE_H_
@@ -98,11 +98,11 @@
   // since they would be cut off; open flows continue.
   void Leave() { m_leaving = true; }
 
-  // Processes a caller's packet that `balancer` forwarded; `header` is the
+  // Processes a caller's packet that a balancer forwarded; `header` is the
   // header of `forward.packet`.
   void OnForward(const Forward& forward,
                  const flow::PacketHeader& header,
-                 base::Address balancer,
+                 const ForwardSource& source,
                  base::Millis now,
                  GateActions& actions);
   // Answers a balancer that asks which of some flows the upstream holds.
@@ -180,6 +180,7 @@
     uint32_t upstream_end = 0;         // sequence after the last upstream byte
     uint32_t caller_end = 0;           // sequence after the last caller byte
     uint32_t caller_acknowledged = 0;  // the caller's last acknowledgement
+    Offerer offerer;                   // none if the flow was never offered
     base::Address balancer;    // that forwarded the last packet of the caller
     base::Millis offered_at;   // or first seen, if it was never offered
     base::Millis accepted_at;  // only if `accepted`
@@ -194,13 +195,20 @@
 
   void OnOpeningPacket(const Forward& forward,
                        const flow::PacketHeader& header,
-                       base::Address balancer,
+                       const ForwardSource& source,
                        base::Millis now,
                        GateActions& actions);
   // Returns the reason to refuse a new flow, or nothing if it may be offered.
   std::optional<flow::Reason> RefusalReason(const Forward& forward,
                                             const flow::PacketHeader& header,
+                                            const ForwardSource& source,
                                             base::Millis now) const;
+  // Returns the reason to refuse a new flow that may not go to this upstream's
+  // service, or if that can't be told yet; nothing if it may go there.
+  std::optional<flow::Reason> RouteRefusalReason(
+      const Forward& forward,
+      const flow::PacketHeader& header,
+      const ForwardSource& source) const;
   // Returns whether the upstream must be treated as cold.
   bool IsCold(base::Millis now) const;
   // Returns how many new flows the upstream may take now because it is cold, or
@@ -279,6 +287,7 @@
   // Reports to logs and metrics that an offer was accepted, or why it was
   // refused; `took` is the time that the upstream had it.
   void ReportOffer(const flow::FlowEnds& ends,
+                   const Offerer& offerer,
                    std::optional<flow::Reason> refused,
                    base::Millis took,
                    base::Millis now,
--- a/filberthollow/decision/flows/upstream_gate_cold_test.cc
+++ b/filberthollow/decision/flows/upstream_gate_cold_test.cc
@@ -90,8 +90,8 @@
   // delivered. Returns the reason if the flow is refused.
   std::optional<Reason> Send(const flow::PacketHeader& header, bool is_new) {
     GateActions actions;
-    gate->OnForward({.revision = 5, .packet = "p"}, header, testing::kBalancer,
-                    now, actions);
+    gate->OnForward({.revision = 5, .packet = "p"}, header,
+                    testing::kInformedBalancer, now, actions);
     if (ActionsOfType<DeliverToUpstream>(actions).empty()) {
       return ActionsOfType<AnswerBalancer>(actions).at(0).answer.reason;
     }
@@ -280,7 +280,7 @@
 BOOST_FIXTURE_TEST_CASE(UpstreamThatWasSilentIsInDoubt, WarmFixture) {
   GateActions ignored;
   gate->OnForward({.revision = 5, .packet = "p"}, testing::Opening(),
-                  testing::kBalancer, now, ignored);
+                  testing::kInformedBalancer, now, ignored);
   Advance(UpstreamLiveness::kSilenceTimeout + testing::kTickStep);
   gate->OnHealthCheck(true, now, ignored);
   BOOST_TEST(Open(kMany) == kAllowed - 1);
@@ -318,8 +318,8 @@
   GateActions actions;
   flow::PacketHeader copy = openings[0];
   for (size_t i = 0; i < kAllowed; ++i) {
-    gate->OnForward({.revision = 5, .packet = "p"}, copy, testing::kBalancer,
-                    now, actions);
+    gate->OnForward({.revision = 5, .packet = "p"}, copy,
+                    testing::kInformedBalancer, now, actions);
   }
   BOOST_TEST(ActionsOfType<DeliverToUpstream>(actions).size() == kAllowed);
   BOOST_TEST((Open() == Reason::kColdLimit));
@@ -358,7 +358,7 @@
       flow::PacketHeader header = testing::Opening();
       header.source.port = f.next_port++;
       f.gate->OnForward({.revision = 5, .packet = "p"}, header,
-                        testing::kBalancer, f.now, ignored);
+                        testing::kInformedBalancer, f.now, ignored);
       f.Advance(UpstreamLiveness::kSilenceTimeout + testing::kTickStep);
       f.StartRun(f.run_started + 1);
       f.gate->OnHealthCheck(true, f.now, ignored);
--- a/filberthollow/decision/flows/upstream_gate_offers.cc
+++ b/filberthollow/decision/flows/upstream_gate_offers.cc
@@ -11,11 +11,13 @@
 using flow::Reason;
 
 void UpstreamGate::ReportOffer(const FlowEnds& ends,
+                               const Offerer& offerer,
                                std::optional<Reason> refused,
                                base::Millis took,
                                base::Millis now,
                                GateActions& actions) const {
   actions.emplace_back(OfferDecided{.flow = ends,
+                                    .offerer = offerer,
                                     .accepted = !refused,
                                     .reason = refused.value_or(Reason{}),
                                     .state = m_liveness.state(),
@@ -25,8 +27,35 @@
                                     .cold = IsCold(now)});
 }
 
+std::optional<Reason> UpstreamGate::RouteRefusalReason(
+    const Forward& forward,
+    const PacketHeader& header,
+    const ForwardSource& source) const {
+  if (m_routes->revision() > 0 && m_routes->revision() >= forward.revision) {
+    const CompiledRoute* route = m_routes->Find(header.destination);
+    if (route == nullptr) {
+      return Reason::kNoRoute;
+    }
+    return route->Allows(m_options.service)
+               ? std::nullopt
+               : std::make_optional(Reason::kWrongService);
+  }
+  // The balancer has a newer configuration, so its choice of service counts.
+  // Whether this upstream is of that service it knows from the last report from
+  // this address, which may be that of another agent that had the address
+  // before.
+  if (forward.service != base::ServiceId{}) {
+    return forward.service == m_options.service
+               ? std::nullopt
+               : std::make_optional(Reason::kWrongService);
+  }
+  return source.has_report ? std::nullopt
+                           : std::make_optional(Reason::kNotReady);
+}
+
 std::optional<Reason> UpstreamGate::RefusalReason(const Forward& forward,
                                                   const PacketHeader& header,
+                                                  const ForwardSource& source,
                                                   base::Millis now) const {
   if (m_liveness.state() == UpstreamState::kUnknown) {
     return Reason::kNotReady;
@@ -43,16 +72,8 @@
   if (m_liveness.IsRefusing(now)) {
     return Reason::kUpstreamRefused;
   }
-  // If the balancer has a newer configuration, its choice of route and service
-  // is trusted.
-  bool check_route =
-      m_routes->revision() > 0 && m_routes->revision() >= forward.revision;
-  const CompiledRoute* route = m_routes->Find(header.destination);
-  if (check_route && route == nullptr) {
-    return Reason::kNoRoute;
-  }
-  if (check_route && !route->Allows(m_options.service)) {
-    return Reason::kWrongService;
+  if (auto reason = RouteRefusalReason(forward, header, source)) {
+    return reason;
   }
   if (m_open_flows >= m_routes->ConnectionLimit(m_options.service)) {
     return Reason::kConnectionLimit;
@@ -65,33 +86,39 @@
 
 void UpstreamGate::OnOpeningPacket(const Forward& forward,
                                    const PacketHeader& header,
-                                   base::Address balancer,
+                                   const ForwardSource& source,
                                    base::Millis now,
                                    GateActions& actions) {
+  Offerer offerer{.balancer = source.balancer,
+                  .revision = forward.revision,
+                  .service = forward.service,
+                  .has_report = source.has_report};
   FlowEnds ends = header.FromCaller();
   auto found = m_flows.find(ends);
   bool known = found != m_flows.end() && found->second.stage != Stage::kClosed;
   if (!known) {
-    if (auto reason = RefusalReason(forward, header, now)) {
-      SendAnswer(balancer, ends, Holding::kRefused, *reason, "", now, actions);
-      ReportOffer(ends, reason, base::Millis(0), now, actions);
+    if (auto reason = RefusalReason(forward, header, source, now)) {
+      SendAnswer(source.balancer, ends, Holding::kRefused, *reason, "", now,
+                 actions);
+      ReportOffer(ends, offerer, reason, base::Millis(0), now, actions);
       return;
     }
     if (found != m_flows.end()) {
       Erase(found, now);
     }
-    found = m_flows.emplace(ends, Flow{.offered_at = now}).first;
+    found = m_flows.emplace(ends, Flow{.offerer = offerer, .offered_at = now})
+                .first;
     m_liveness.RecordOpeningDelivered(now);
     m_offers_pending = true;
     ++m_open_flows;
   }
   Flow& flow = found->second;
-  flow.balancer = balancer;
+  flow.balancer = source.balancer;
   flow.last_used = now;
   if (flow.accepted) {
     // The caller may not have received the acceptance. The upstream sends it
     // again when it gets this copy of the opening packet.
-    SendAnswer(balancer, ends, Holding::kHeld, {}, "", now, actions);
+    SendAnswer(source.balancer, ends, Holding::kHeld, {}, "", now, actions);
   }
   m_cold_limiter.RecordOpening(now);
   actions.emplace_back(DeliverToUpstream{forward.packet});
@@ -103,7 +130,8 @@
                                                         GateActions& actions) {
   SendAnswer(flow->second.balancer, flow->first, Holding::kRefused, reason, "",
              now, actions);
-  ReportOffer(flow->first, reason, now - flow->second.offered_at, now, actions);
+  ReportOffer(flow->first, flow->second.offerer, reason,
+              now - flow->second.offered_at, now, actions);
   return Erase(flow, now);
 }
 
--- a/filberthollow/decision/membership/first_reports.cc
+++ b/filberthollow/decision/membership/first_reports.cc
@@ -1,5 +1,7 @@
 #include "filberthollow/decision/membership/first_reports.h"
 
+#include <algorithm>
+
 namespace filberthollow::decision::membership {
 
 bool FirstReports::Begin(base::Address balancer, base::Millis now) {
@@ -8,6 +10,7 @@
     return false;
   }
   found->second = {.changed_at = now};
+  m_confirmed.erase(balancer);
   return true;
 }
 
@@ -15,6 +18,22 @@
   if (auto found = m_entries.find(balancer); found != m_entries.end()) {
     found->second = {.changed_at = now, .confirmed = true};
   }
+  if (auto sent = m_confirmed.find(balancer); sent != m_confirmed.end()) {
+    sent->second = true;
+  }
+}
+
+bool FirstReports::HasConfirmed(base::Address balancer) const {
+  auto found = m_confirmed.find(balancer);
+  return found != m_confirmed.end() && found->second;
+}
+
+void FirstReports::KeepConfirmationsOf(
+    const std::vector<base::Address>& balancers) {
+  std::erase_if(m_confirmed, [&balancers](const auto& entry) {
+    return std::find(balancers.begin(), balancers.end(), entry.first) ==
+           balancers.end();
+  });
 }
 
 bool FirstReports::IsPending(base::Address balancer) const {
--- a/filberthollow/decision/membership/first_reports.h
+++ b/filberthollow/decision/membership/first_reports.h
@@ -10,6 +10,9 @@
 // failure has ended: the time until a balancer may tell them so does not grow
 // with the fleet. Without losses it costs no further messages.
 //
+// A balancer that has confirmed no report of this agent may take it for another
+// one, which had its address before. HasConfirmed() tells whether it has.
+//
 //   FirstReports first_reports;
 //   if (first_reports.Begin(balancer, now)) { ... }  // send it a report
 //   first_reports.OnConfirmed(balancer, now);  // its hello confirms a report
@@ -41,8 +44,15 @@
   // Returns whether a report must be sent to it now. It need not if this is
   // known already: several balancers announce each start.
   bool Begin(base::Address balancer, base::Millis now);
+  // A report was sent to the balancer, the first one or a later one.
+  void OnSent(base::Address balancer) { m_confirmed.try_emplace(balancer); }
   // The balancer has confirmed a report.
   void OnConfirmed(base::Address balancer, base::Millis now);
+  // Returns whether the balancer has confirmed a report since it started. What
+  // it says before it was sent one is about another agent.
+  bool HasConfirmed(base::Address balancer) const;
+  // Forgets the confirmations of all balancers but these.
+  void KeepConfirmationsOf(const std::vector<base::Address>& balancers);
   // Returns whether a confirmation of the balancer is awaited.
   bool IsPending(base::Address balancer) const;
   // Returns the balancers to repeat the report to now, and counts the
@@ -58,6 +68,8 @@
     bool confirmed = false;
   };
   std::map<base::Address, Entry> m_entries;
+  // Whether each balancer that was sent a report has confirmed one.
+  std::map<base::Address, bool> m_confirmed;
 };
 
 }  // namespace filberthollow::decision::membership
--- a/filberthollow/decision/membership/first_reports_test.cc
+++ b/filberthollow/decision/membership/first_reports_test.cc
@@ -57,5 +57,34 @@
   BOOST_TEST(!reports.Begin(kBalancer, kStart + Millis(15)));
 }
 
+// A balancer may still have the report of an agent that had the address before.
+BOOST_AUTO_TEST_CASE(OnlyAReportThatWasSentIsConfirmed) {
+  FirstReports reports;
+  reports.OnConfirmed(kBalancer, kStart);
+  BOOST_TEST(!reports.HasConfirmed(kBalancer));
+  reports.OnSent(kBalancer);
+  BOOST_TEST(!reports.HasConfirmed(kBalancer));
+  reports.OnConfirmed(kBalancer, kStart);
+  BOOST_TEST(reports.HasConfirmed(kBalancer));
+  BOOST_TEST(!reports.HasConfirmed(kOtherBalancer));
+}
+
+BOOST_AUTO_TEST_CASE(ConfirmationLastsUntilTheBalancerRestartsOrIsForgotten) {
+  FirstReports reports;
+  reports.OnSent(kBalancer);
+  reports.OnConfirmed(kBalancer, kStart);
+  reports.OnSent(kBalancer);
+  reports.TakeDue(kStart + Millis(5000));
+  BOOST_TEST(reports.HasConfirmed(kBalancer));
+  reports.KeepConfirmationsOf({kBalancer, kOtherBalancer});
+  BOOST_TEST(reports.HasConfirmed(kBalancer));
+  reports.Begin(kBalancer, kStart + Millis(6000));
+  BOOST_TEST(!reports.HasConfirmed(kBalancer));
+  reports.OnSent(kBalancer);
+  reports.OnConfirmed(kBalancer, kStart + Millis(6010));
+  reports.KeepConfirmationsOf({kOtherBalancer});
+  BOOST_TEST(!reports.HasConfirmed(kBalancer));
+}
+
 }  // namespace
 }  // namespace filberthollow::decision::membership
--- a/filberthollow/lab/fleet_model.cc
+++ b/filberthollow/lab/fleet_model.cc
@@ -337,7 +337,9 @@
     if (auto* forward = std::get_if<flows::SendForward>(&action)) {
       ToAgent(forward->agent, [this, message = std::move(forward->message),
                                from = balancer.address](Agent& agent, size_t) {
-        agent.gate->OnForward(message, UnpackBytes(message.packet).header, from,
+        // The agents of the model report to all balancers from the start.
+        agent.gate->OnForward(message, UnpackBytes(message.packet).header,
+                              {.balancer = from, .has_report = true},
                               m_engine.Now(), agent.actions);
       });
     } else if (auto* locate = std::get_if<flows::SendLocate>(&action)) {
--- a/filberthollow/measure/packet_slopes.cc
+++ b/filberthollow/measure/packet_slopes.cc
@@ -79,7 +79,8 @@
   gate->OnHeartbeat(testing::MakeHeartbeat(1), kNow, actions);
   for (uint32_t i = 0; i < flows; ++i) {
     gate->OnForward({.revision = kRevision}, WithCaller(testing::Opening(), i),
-                    AgentAddress(0), kNow, actions);
+                    {.balancer = AgentAddress(0), .has_report = true}, kNow,
+                    actions);
     flow::PacketHeader accepted = testing::Acceptance();
     accepted.destination = WithCaller(testing::Opening(), i).source;
     gate->OnUpstreamPacket("", accepted, kNow, actions);
@@ -173,7 +174,8 @@
       auto message = wire::DecodePacketMessage(datagram);
       gate->OnForward(std::get<decision::flows::Forward>(*message),
                       WithCaller(testing::Data(101, 0), i % size),
-                      AgentAddress(0), kNow, actions);
+                      {.balancer = AgentAddress(0), .has_report = true}, kNow,
+                      actions);
       sum += actions.size();
       actions.clear();
     });
--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -44,6 +44,7 @@
                      AgentSockets sockets)
     : PacketsTask(clock, registry, settings, adapter, std::move(sockets.peers)),
       m_data_centre(settings.data_centre),
+      m_service(base::ServiceIdOf(settings.service)),
       m_upstream(settings.upstream),
       m_outbound(std::move(sockets.outbound)),
       m_gate(GateOptionsFrom(settings), clock.Now()) {}
@@ -205,7 +206,9 @@
                                   base::Address from) {
   if (auto header = ReadHeader(m.packet)) {
     RecordPacketArrival();
-    m_gate.OnForward(m, *header, from, Now(), m_actions);
+    decision::flows::ForwardSource source{
+        .balancer = from, .has_report = m_first_reports.HasConfirmed(from)};
+    m_gate.OnForward(m, *header, source, Now(), m_actions);
     ApplyActions();
   }
 }
@@ -302,6 +305,13 @@
   ReportToLiveBalancers();
 }
 
+std::string_view AgentTask::ServiceClaim(base::ServiceId service) const {
+  if (service == base::ServiceId{}) {
+    return "none";
+  }
+  return service == m_service ? "own" : "other";
+}
+
 void AgentTask::Apply(const decision::flows::OfferDecided& note) {
   std::string reason =
       note.accepted ? "" : std::string(flow::ReasonName(note.reason));
@@ -321,7 +331,11 @@
              {"cold", note.cold ? "yes" : "no"},
              {"cold_ms", note.load.cold_ms},
              {"openings_left", note.load.openings_left},
-             {"revision", m_gate.revision()}});
+             {"revision", m_gate.revision()},
+             {"balancer", note.offerer.balancer.Text()},
+             {"balancer_revision", note.offerer.revision},
+             {"service_named", std::string(ServiceClaim(note.offerer.service))},
+             {"balancer_has_report", note.offerer.has_report ? "yes" : "no"}});
 }
 
 void AgentTask::Apply(const decision::flows::RequestWaited& note) {
@@ -396,6 +410,7 @@
   std::erase_if(m_balancer_evacuations, [this](const auto& entry) {
     return !m_balancers.IsLive(entry.first, Now());
   });
+  m_first_reports.KeepConfirmationsOf(m_balancers.Live(Now()));
   SendReports(m_balancers.Silent(Now()));
   if (m_balancers.Live(Now()).empty()) {
     Post(config::kConfigService,
@@ -426,6 +441,7 @@
     report.evacuations = is_behind ? m_evacuations.list()
                                    : decision::membership::EvacuationList{};
     SendToPeer(report, balancer);
+    m_first_reports.OnSent(balancer);
   }
 }
 
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -103,6 +103,8 @@
   void Apply(const decision::flows::RequestAnswered& note);
   void Apply(const decision::flows::UpstreamReset& note);
   void Apply(const decision::flows::UpstreamSilence& note);
+  // Returns for the log whose service an offer names: "own", "other" or "none".
+  std::string_view ServiceClaim(base::ServiceId service) const;
   // Logs and counts a heartbeat that had no effect.
   void LogIgnoredHeartbeat(const decision::flows::UpstreamHeartbeat& heartbeat,
                            decision::flows::HeartbeatOutcome outcome);
@@ -131,6 +133,7 @@
   void ReportToLiveBalancers() { SendReports(m_balancers.Live(Now())); }
 
   const std::string m_data_centre;
+  const base::ServiceId m_service;
   const base::Address m_upstream;
   std::shared_ptr<net::UdpSocket> m_outbound;
   decision::flows::UpstreamGate m_gate;
--- a/filberthollow/platform/platform_fleet.py
+++ b/filberthollow/platform/platform_fleet.py
@@ -370,6 +370,16 @@
                             self.platform.addresses["http"])
         self.start_process(host, role)
 
+    def start_lost_agent(self, host, service):
+        """Starts an agent whose seed is stale, and which the store turns away.
+
+        It gets to know the fleet only by what the fleet sends to its address.
+        """
+        nobody = f"{NET}.90"
+        self.write_settings(host, "agent", "false", nobody, f"{nobody}:1",
+                            service)
+        self.start_process(host, "agent")
+
     def start_process(self, host, role):
         with open(self.folder / f"{host}.log", "ab") as log:
             self.running[host] = subprocess.Popen(
@@ -377,7 +387,8 @@
                 stdout=log, stderr=log, env={"FILBERTHOLLOW_BOOT": str(
                     self.folder / f"{host}.conf")})
 
-    def write_settings(self, host, role, first_start, seed, platform):
+    def write_settings(self, host, role, first_start, seed, platform,
+                       service="desk"):
         lines = [f"node={role}-{host}", "zone=here", "region=here",
                  f"internalPorts={PORTS['peers']},{PORTS['peers'] + 1}",
                  f"seeds={seed}:{PORTS['control']}",
@@ -388,7 +399,7 @@
                   for name in ("packets", "ready", "control")]
         if role == "agent":
             lines += [f"listenAddresses.outbound={host}:{PORTS['outbound']}",
-                      f"app={host}:{PORTS['app']}", "service=desk"]
+                      f"app={host}:{PORTS['app']}", f"service={service}"]
         lines += self.extra_settings
         settings = self.folder / f"{host}.conf"
         replace_file(settings, "\n".join(lines) + "\n")
--- a/filberthollow/testing/gate_fixture.h
+++ b/filberthollow/testing/gate_fixture.h
@@ -11,6 +11,10 @@
 namespace filberthollow::testing {
 
 inline constexpr base::Address kBalancer{7, 7000};
+// kBalancer, which has a report of the agent.
+inline constexpr decision::flows::ForwardSource kInformedBalancer{
+    .balancer = kBalancer,
+    .has_report = true};
 inline constexpr base::Millis kTickStep{100};
 
 // GateFixture is a gate for the service kDesk with a clock that the test
@@ -40,7 +44,7 @@
                                        decision::flows::Forward forward = {
                                            .revision = 5,
                                            .packet = "p"}) {
-    gate.OnForward(forward, header, kBalancer, now, actions);
+    gate.OnForward(forward, header, kInformedBalancer, now, actions);
     return TakeActions();
   }
   decision::flows::GateActions FromUpstream(const flow::PacketHeader& header) {
--- a/filberthollow/wire/packet_codec.cc
+++ b/filberthollow/wire/packet_codec.cc
@@ -102,11 +102,15 @@
   auto out = message.initForward();
   out.setRevision(m.revision);
   out.setGuess(m.probe);
+  out.setService(Value(m.service));
   out.setPacket(DataOf(m.packet));
 }
 
 bool Read(generated::Forward::Reader in, PacketMessage& out) {
-  out = Forward{in.getRevision(), in.getGuess(), StringOf(in.getPacket())};
+  out = Forward{.revision = in.getRevision(),
+                .probe = in.getGuess(),
+                .service = base::ServiceId{in.getService()},
+                .packet = StringOf(in.getPacket())};
   return true;
 }
 
--- a/filberthollow/wire/packet_codec_test.cc
+++ b/filberthollow/wire/packet_codec_test.cc
@@ -19,8 +19,10 @@
 
 std::vector<PacketMessage> Samples() {
   return {
-      decision::flows::Forward{
-          .revision = 9, .probe = true, .packet = "\0packet"},
+      decision::flows::Forward{.revision = 9,
+                               .probe = true,
+                               .service = base::ServiceIdOf("desk"),
+                               .packet = "\0packet"},
       decision::flows::Locate{{{kFlow, 0xfffffff0}, {kFlow, 7}}},
       decision::flows::Located{{{kFlow, decision::flows::Holding::kUnsure}},
                                {.slots = 4, .in_flight = 2}},
--- a/filberthollow/wire/packets.capnp
+++ b/filberthollow/wire/packets.capnp
@@ -34,6 +34,8 @@
   revision @0 :UInt64;
   guess @1 :Bool;
   packet @2 :Data;
+  # 0: not a new flow, or the balancer runs an earlier release.
+  service @3 :UInt64;
 }
 
 # The endpoints are stored inline, which avoids a pointer per list element.
