Agents report to balancers that ask them

Cause: an agent learns of balancers from its seeds and from the store. If the seeds are stale and the store is away, it knows none, and reports to none, although balancers that know its address send it packets and questions.

Ruled out: the balancers' hellos: they are sent in answer to reports, and to agents when the configuration changes.

Changed: an agent reports at once, and again until it is confirmed, to a balancer that sends it a packet or a question and that it does not know. The balancer's answer brings the configuration and the other balancers. An agent that knows its balancers sends nothing more than before.

--- a/filberthollow/passthrough/agent_task.cc
+++ b/filberthollow/passthrough/agent_task.cc
@@ -204,6 +204,7 @@
 
 void AgentTask::HandlePeerMessage(const decision::flows::Forward& m,
                                   base::Address from) {
+  IntroduceTo(from);
   if (auto header = ReadHeader(m.packet)) {
     RecordPacketArrival();
     decision::flows::ForwardSource source{
@@ -216,6 +217,7 @@
 void AgentTask::HandlePeerMessage(const decision::flows::Locate& m,
                                   base::Address from) {
   m_metrics.Add("locates_heard");
+  IntroduceTo(from);
   m_gate.OnLocate(m, from, Now(), m_actions);
   ApplyActions();
 }
@@ -419,6 +421,14 @@
   ArmDiscoveryTimer();
 }
 
+void AgentTask::IntroduceTo(base::Address balancer) {
+  if (m_balancers.Add(balancer, Now())) {
+    m_metrics.Add("balancers_found_by_packets");
+    base::Log(Level::kInfo, "balancer_found", {{"balancer", balancer.Text()}});
+    SendFirstReport(balancer);
+  }
+}
+
 void AgentTask::SendFirstReport(base::Address balancer) {
   if (m_first_reports.Begin(balancer, Now())) {
     SendReports({balancer});
--- a/filberthollow/passthrough/agent_task.h
+++ b/filberthollow/passthrough/agent_task.h
@@ -126,6 +126,10 @@
   base::Millis ReportInterval() const {
     return PacedInterval(m_balancers.size(), kReportBytes, kReportInterval);
   }
+  // Reports to a balancer that has sent a packet or a question, if this agent
+  // does not know it. It may take this agent for one that had the address
+  // before, and its answer brings the configuration and the other balancers.
+  void IntroduceTo(base::Address balancer);
   // Sends the first report to a balancer that has just started.
   void SendFirstReport(base::Address balancer);
   // Sends a report on the upstream to each of `balancers`.
--- a/filberthollow/platform/address_reuse_fleet_test.py
+++ b/filberthollow/platform/address_reuse_fleet_test.py
@@ -20,6 +20,7 @@
 NEW_FLOWS = 30
 # An address is used again no sooner than 2 s after the end.
 REUSE_SECONDS = 2.5
+CONFIGURATION_SECONDS = 3
 
 
 class AddressReuseTest(unittest.TestCase):
@@ -87,6 +88,18 @@
             self.assertTrue(answer.flags & OPEN)
         self.assertEqual(self.new.opened, 0)
 
+    # Guards against an agent that stays without a configuration although
+    # balancers that have it send it messages.
+    def test_agent_learns_of_the_fleet_from_a_balancer_that_asks_it(self):
+        self.move_kept_flows()
+        wait_until(lambda: self.system.status_of(self.new.host)["packets"][
+            "revision"] > 0, CONFIGURATION_SECONDS,
+            "the agent has the configuration")
+        for _ in range(NEW_FLOWS):
+            self.assertTrue(
+                self.system.caller.open(self.second)[1].flags & OPEN)
+        self.assertEqual(self.new.opened, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
