A balancer that hears an agent without its reports offers it no new flow

Cause: any message from an address ended the silence of the agent that had reported from it: the answer to a question, or another balancer's word that it has heard it. The state and the service of the last report counted again, however old it was. What answers may be another agent.

Ruled out: agents of this release (they refuse such flows); the age of the load (it is renewed by the answer, and belongs to the new upstream).

Changed: an agent whose reports are overdue by the measure of silence (0.7 s or three report intervals) is offered no new flow until it has reported. It is asked for a report with its first answer. The hello that asks names the balancer as a newcomer, which agents of the previous release answer, too, so the message needs no new field. Searches for open flows ask the agent as before.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -200,7 +200,7 @@
                           base::Millis now,
                           RouterActions& actions) {
   CheckPause(now, actions);
-  NoteLoad(agent, answer.load, now);
+  NoteAnswer(agent, answer.load, now, actions);
   auto offer = m_offers.find(answer.flow);
   if (answer.holding == Holding::kHeld) {
     if (offer != m_offers.end()) {
@@ -275,6 +275,7 @@
   m_started = std::min(m_started + gap, now);
   for (auto& [address, agent] : m_agents) {
     agent.heard_at = std::min(agent.heard_at + gap, now);
+    agent.reported_at = std::min(agent.reported_at + gap, now);
     if (agent.asked_at != base::kNever) {
       agent.asked_at = std::min(agent.asked_at + gap, now);
     }
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -112,6 +112,13 @@
   friend bool operator==(const AgentSilence&, const AgentSilence&) = default;
 };
 
+// ReportNeeded is an action: ask the agent for a report. It answers, but its
+// reports are overdue, so that another agent may have its address by now.
+struct ReportNeeded {
+  base::Address agent;
+  base::Millis reported_ago;
+  friend bool operator==(const ReportNeeded&, const ReportNeeded&) = default;
+};
 // ProcessPaused: this process did not run for some time. Messages that are
 // missing for that time do not show that agents are silent.
 struct ProcessPaused {
@@ -128,6 +135,7 @@
                                   FlowFound,
                                   FlowNotFound,
                                   AgentSilence,
+                                  ReportNeeded,
                                   ProcessPaused>;
 using RouterActions = std::vector<RouterAction>;
 
@@ -183,6 +191,11 @@
   // shows a failure much earlier.
   static constexpr int64_t kMaxMissedReports = 3;
   static constexpr base::Millis kMinSilence{700};
+  // An agent whose reports are overdue by the same measure is offered no new
+  // flow, even if it answers: an upstream of another service may have the
+  // address. It is asked for a report with its first answer, and again with an
+  // answer after kReportRetryDelay, a round trip between distant data centres.
+  static constexpr base::Millis kReportRetryDelay{150};
   // The balancer considers itself isolated (cut off from the network) if, of
   // the agents heard within kIsolationWindow, fewer than one in
   // kIsolationDivisor was heard within kIsolationTimeout or
@@ -250,8 +263,9 @@
   bool OnReport(const UpstreamReport& report,
                 base::Address agent,
                 base::Millis now);
-  // Returns whether a report of the agent has been received.
-  bool HasReportOf(base::Address agent) const;
+  // Returns whether a report of the agent has been received and the next one is
+  // not overdue.
+  bool HasReportOf(base::Address agent, base::Millis now) const;
   // OnKnownAgents records agents that another balancer knows, so that their
   // flows are not taken for lost only because this balancer has not heard the
   // agents. What this one has heard since is not replaced.
@@ -296,7 +310,9 @@
     // Whether this balancer has received a message of the agent. If not, it
     // was named by another balancer.
     bool heard = true;
-    bool reported = false;  // whether it has received a report of the agent
+    bool reported = false;     // whether it has received a report of the agent
+    base::Millis reported_at;  // time of the last report, if `reported`
+    base::Millis report_asked_at;  // when a report was last asked for, or 0
   };
   struct KnownFlow {
     base::Address agent;
@@ -384,10 +400,12 @@
   void RepeatQuestions(const flow::FlowEnds& ends, FlowSearch& search);
   // Sends the queued questions if the rate limit allows.
   void SendQuestions(base::Millis now, RouterActions& actions);
-  // Records the load that came with an answer of the agent.
-  void NoteLoad(base::Address agent,
-                const load::UpstreamLoad& load,
-                base::Millis now);
+  // Records an answer of the agent and the load that came with it. Asks the
+  // agent for a report if its reports are overdue.
+  void NoteAnswer(base::Address address,
+                  const load::UpstreamLoad& load,
+                  base::Millis now,
+                  RouterActions& actions);
   // Records an answer other than kHeld in the search for the flow, if there is
   // one.
   void OnSearchAnswer(const flow::FlowEnds& ends,
@@ -435,6 +453,12 @@
   void CacheFlow(const flow::FlowEnds& ends,
                  base::Address agent,
                  base::Millis now);
+  // Returns the time without messages, or without reports, after which the next
+  // one of the agent is overdue.
+  static base::Millis ReportPatience(const Agent& agent);
+  // Returns whether it is known which upstream the agent serves: its reports
+  // are not overdue.
+  static bool IsIdentified(const Agent& agent, base::Millis now);
   // Returns whether messages of an agent are overdue. While the balancer is
   // isolated, this holds for every agent that was not heard recently.
   bool IsSilent(const Agent& agent, base::Millis now) const;
--- a/filberthollow/decision/flows/flow_router_agents.cc
+++ b/filberthollow/decision/flows/flow_router_agents.cc
@@ -5,10 +5,16 @@
 
 namespace filberthollow::decision::flows {
 
+base::Millis FlowRouter::ReportPatience(const Agent& agent) {
+  return std::max(kMinSilence, agent.report.interval * kMaxMissedReports);
+}
+
+bool FlowRouter::IsIdentified(const Agent& agent, base::Millis now) {
+  return agent.reported && now - agent.reported_at <= ReportPatience(agent);
+}
+
 bool FlowRouter::IsSilent(const Agent& agent, base::Millis now) const {
-  base::Millis patience =
-      std::max(kMinSilence, agent.report.interval * kMaxMissedReports);
-  return now - agent.heard_at > patience ||
+  return now - agent.heard_at > ReportPatience(agent) ||
          now - agent.asked_at > kMinSilence ||
          (m_isolated && !WasHeardRecently(agent, now));
 }
@@ -48,7 +54,8 @@
 
 bool FlowRouter::AcceptsNewFlows(const Agent& agent, base::Millis now) const {
   return agent.report.state == UpstreamState::kReady && !agent.report.silent &&
-         !agent.offer_unanswered && !IsSilent(agent, now);
+         !agent.offer_unanswered && !IsSilent(agent, now) &&
+         IsIdentified(agent, now);
 }
 
 bool FlowRouter::IsReady(base::Millis now) const {
@@ -91,13 +98,14 @@
                         .heard_at = now,
                         .load_reported_at = now,
                         .silent = known->second.silent,
-                        .reported = true};
+                        .reported = true,
+                        .reported_at = now};
   return starts_leaving;
 }
 
-bool FlowRouter::HasReportOf(base::Address agent) const {
+bool FlowRouter::HasReportOf(base::Address agent, base::Millis now) const {
   auto found = m_agents.find(agent);
-  return found != m_agents.end() && found->second.reported;
+  return found != m_agents.end() && IsIdentified(found->second, now);
 }
 
 void FlowRouter::OnKnownAgents(const KnownAgents& known, base::Millis now) {
@@ -143,16 +151,25 @@
   return lists;
 }
 
-void FlowRouter::NoteLoad(base::Address agent,
-                          const load::UpstreamLoad& load,
-                          base::Millis now) {
-  if (auto known = m_agents.find(agent); known != m_agents.end()) {
-    known->second.heard = true;
-    known->second.heard_at = now;
-    known->second.asked_at = base::kNever;
-    known->second.report.load = load;
-    known->second.load_reported_at = now;
-    known->second.placed_since_load = 0;
+void FlowRouter::NoteAnswer(base::Address address,
+                            const load::UpstreamLoad& load,
+                            base::Millis now,
+                            RouterActions& actions) {
+  auto known = m_agents.find(address);
+  if (known == m_agents.end()) {
+    return;
+  }
+  Agent& agent = known->second;
+  agent.heard = true;
+  agent.heard_at = now;
+  agent.asked_at = base::kNever;
+  agent.report.load = load;
+  agent.load_reported_at = now;
+  agent.placed_since_load = 0;
+  if (agent.reported && !IsIdentified(agent, now) &&
+      now - agent.report_asked_at >= kReportRetryDelay) {
+    agent.report_asked_at = now;
+    actions.emplace_back(ReportNeeded{address, now - agent.reported_at});
   }
 }
 
--- a/filberthollow/decision/flows/flow_router_discovery_test.cc
+++ b/filberthollow/decision/flows/flow_router_discovery_test.cc
@@ -88,14 +88,14 @@
 // A report of an agent is confirmed only if it was received; an answer of the
 // agent to a question says nothing of its upstream's state.
 BOOST_FIXTURE_TEST_CASE(OnlyAReceivedReportIsConfirmed, Fixture) {
-  BOOST_TEST(!router.HasReportOf(kFirstAgent));
+  BOOST_TEST(!router.HasReportOf(kFirstAgent, now));
   router.OnKnownAgents({{{kFirstAgent, testing::kDesk, false, Millis(0)}}},
                        now);
   FromCaller(Data(101, 500));
   Answer(kFirstAgent, Holding::kNotHeld);
-  BOOST_TEST(!router.HasReportOf(kFirstAgent));
+  BOOST_TEST(!router.HasReportOf(kFirstAgent, now));
   Report(kFirstAgent);
-  BOOST_TEST(router.HasReportOf(kFirstAgent));
+  BOOST_TEST(router.HasReportOf(kFirstAgent, now));
 }
 
 // The balancer may be cut off from all agents, which may hold the flow.
--- a/filberthollow/decision/flows/flow_router_searches.cc
+++ b/filberthollow/decision/flows/flow_router_searches.cc
@@ -243,7 +243,7 @@
                            base::Millis now,
                            RouterActions& actions) {
   CheckPause(now, actions);
-  NoteLoad(agent, located.load, now);
+  NoteAnswer(agent, located.load, now, actions);
   for (const FlowHolding& answer : located.flows) {
     if (answer.holding == Holding::kHeld) {
       OnFlowFound(answer.flow, agent, now, actions);
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -268,6 +268,15 @@
              {"isolated", note.isolated ? "yes" : "no"}});
 }
 
+void BalancerTask::Apply(const decision::flows::ReportNeeded& action) {
+  m_metrics.Add("reports_asked_for");
+  base::Log(Level::kWarning, "report_asked_for",
+            {{"agent", action.agent.Text()},
+             {"reported_ago_ms", action.reported_ago}});
+  // Agents report at once to the newcomer that a hello names.
+  SendHello(action.agent, peer_address());
+}
+
 void BalancerTask::Apply(const decision::flows::ProcessPaused& note) {
   m_metrics.Add("process_pauses");
   base::Log(Level::kWarning, "process_paused", {{"gap_ms", note.gap}});
@@ -336,7 +345,7 @@
           .leaving = leaving(),
           .balancers = m_balancers.Advertised(to, Now()),
           .newcomer = newcomer,
-          .confirms_report = m_router.HasReportOf(to),
+          .confirms_report = m_router.HasReportOf(to, Now()),
           .evacuations = m_evacuations.list()},
       to);
 }
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -94,6 +94,7 @@
   void Apply(const decision::flows::FlowFound& note);
   void Apply(const decision::flows::FlowNotFound& note);
   void Apply(const decision::flows::AgentSilence& note);
+  void Apply(const decision::flows::ReportNeeded& action);
   void Apply(const decision::flows::ProcessPaused& note);
   // Sends a hello to every known balancer and schedules the next one. Also
   // drops peers that have been silent for too long.
--- a/filberthollow/passthrough/packets_task.h
+++ b/filberthollow/passthrough/packets_task.h
@@ -94,6 +94,8 @@
   // Called when the names in m_evacuations have changed.
   virtual void OnEvacuationsChanged() = 0;
 
+  // Returns the address at which this process receives messages from peers.
+  base::Address peer_address() const { return m_peers->address(); }
   // Records the time of the last packet, for StopIfQuiet().
   void RecordPacketArrival() { m_last_packet_at = Now(); }
   // Marks this process as leaving the fleet.
