--- a/filberthollow/decision/flows/packet_messages.h
+++ b/filberthollow/decision/flows/packet_messages.h
@@ -87,8 +87,9 @@
   uint64_t run = 0;       // identifies one run of the balancer
   bool leaving = false;   // is about to stop
   std::vector<base::Address> balancers;  // other balancers that it knows
-  // A balancer that has just started and does not know all agents yet. An agent
-  // that receives this reports to it at once. Empty if there is none.
+  // A balancer that has just started and does not know all agents yet, or the
+  // sender itself, if the agent's reports are overdue. An agent that receives
+  // this reports to it at once. Empty if there is none.
   base::Address newcomer;
   // To an agent: whether the balancer has received a report of it.
   bool confirms_report = false;
--- a/filberthollow/testing/gate_fixture.h
+++ b/filberthollow/testing/gate_fixture.h
@@ -3,6 +3,7 @@
 #define FILBERTHOLLOW_TESTING_GATE_FIXTURE_H_
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "filberthollow/decision/flows/upstream_gate.h"
@@ -17,6 +18,19 @@
     .has_report = true};
 inline constexpr base::Millis kTickStep{100};
 
+// Returns why a new flow was refused. Returns nothing unless there is one
+// answer, a refusal, and nothing was delivered to the upstream.
+inline std::optional<flow::Reason> RefusalReasonOf(
+    const decision::flows::GateActions& actions) {
+  auto answers = ActionsOfType<decision::flows::AnswerBalancer>(actions);
+  auto delivered = ActionsOfType<decision::flows::DeliverToUpstream>(actions);
+  if (answers.size() != 1 || !delivered.empty() ||
+      answers[0].answer.holding != decision::flows::Holding::kRefused) {
+    return std::nullopt;
+  }
+  return answers[0].answer.reason;
+}
+
 // GateFixture is a gate for the service kDesk with a clock that the test
 // advances. Methods that return GateActions return the actions of the gate
 // since the last such call.
