A cached flow is forgotten when its agent is of another service

A caller that uses the port of an earlier flow again, while a balancer has that flow cached at an address that now belongs to another service, gets no answer to any copy of its opening packet.

The opening packet goes to the cached agent without an offer. An agent of another service refuses it, and the balancer dropped the refusal, since it belongs to no offer. Before the agents refused such flows, the upstream of the other service ran them.

Ruled out as a remedy: forgetting the flow at any refusal. Those for another reason may come from an agent whose upstream holds the flow, and a second upstream would accept it, too (CachedFlowSurvivesOtherRefusals).

Changed: a refusal as wrong_service that belongs to no offer removes the flow from the cache if the refusing agent is the cached one.

Evidence: CopyOfRefusedOpeningIsOfferedElsewhere fails with the condition taken out, and passes with it.

--- a/filberthollow/decision/flows/flow_router.cc
+++ b/filberthollow/decision/flows/flow_router.cc
@@ -194,6 +194,13 @@
   }
 }
 
+void FlowRouter::ForgetFlow(const FlowEnds& ends, base::Address agent) {
+  auto known = m_known_flows.find(ends);
+  if (known != m_known_flows.end() && known->second.agent == agent) {
+    m_known_flows.erase(known);
+  }
+}
+
 void FlowRouter::OnAnswer(const FlowAnswer& answer,
                           const PacketHeader& header,
                           base::Address agent,
@@ -211,6 +218,10 @@
     return;
   }
   if (answer.holding == Holding::kRefused) {
+    if (offer == m_offers.end() && answer.reason == Reason::kWrongService) {
+      // The cached agent has ended, and another one has its address.
+      ForgetFlow(answer.flow, agent);
+    }
     bool current = offer != m_offers.end() && offer->second.agent == agent;
     if (current && answer.reason == Reason::kUpstreamSilent) {
       // The upstream has the packet and may still accept the flow.
@@ -226,10 +237,7 @@
     return;
   }
   if (!answer.packet.empty()) {
-    auto known = m_known_flows.find(answer.flow);
-    if (known != m_known_flows.end() && known->second.agent == agent) {
-      m_known_flows.erase(known);
-    }
+    ForgetFlow(answer.flow, agent);
     StartSearch(answer.packet, header, now, actions);
   }
   OnSearchAnswer(answer.flow, answer.holding, agent, now, actions);
--- a/filberthollow/decision/flows/flow_router.h
+++ b/filberthollow/decision/flows/flow_router.h
@@ -362,6 +362,8 @@
   // Returns whether it is known which upstream the agent serves: its reports
   // are not overdue.
   static bool IsIdentified(const Agent& agent, base::Millis now);
+  // Removes the flow from the cache if it is cached for this agent.
+  void ForgetFlow(const flow::FlowEnds& ends, base::Address agent);
   // Returns whether messages of an agent are overdue. While the balancer is
   // isolated, this holds for every agent that was not heard recently.
   bool IsSilent(const Agent& agent, base::Millis now) const;
--- a/filberthollow/decision/flows/flow_router_identity_test.cc
+++ b/filberthollow/decision/flows/flow_router_identity_test.cc
@@ -128,6 +128,37 @@
   BOOST_TEST((AgentsOffered(20) == kOnlySecondAgent));
 }
 
+// Guards against a caller that uses a port again and gets no answer, because a
+// flow of that port is still cached at an address that has another agent now.
+BOOST_FIXTURE_TEST_CASE(CopyOfRefusedOpeningIsOfferedElsewhere, Fixture) {
+  router.OnAnswer({.flow = testing::kDeskFlow, .holding = Holding::kHeld}, {},
+                  kFirstAgent, now, actions);
+  Take();
+  auto first = ActionsOfType<SendForward>(FromCaller(Opening()));
+  BOOST_REQUIRE(first.size() == 1U);
+  BOOST_TEST((first[0].agent == kFirstAgent));
+  Answer(kFirstAgent, Holding::kRefused, flow::Reason::kWrongService);
+  Report(kFirstAgent, testing::kMaps);
+  auto copy =
+      ActionsOfType<SendForward>(FromCaller(Opening(testing::kDeskRoute, 1)));
+  BOOST_REQUIRE(copy.size() == 1U);
+  BOOST_TEST((copy[0].agent == kSecondAgent));
+}
+
+// The upstream may hold the flow, and a second one would accept it, too.
+BOOST_FIXTURE_TEST_CASE(CachedFlowSurvivesOtherRefusals, Fixture) {
+  router.OnAnswer({.flow = testing::kDeskFlow, .holding = Holding::kHeld}, {},
+                  kFirstAgent, now, actions);
+  Take();
+  FromCaller(Opening());
+  Answer(kFirstAgent, Holding::kRefused, flow::Reason::kNotReady);
+  Answer(kSecondAgent, Holding::kRefused, flow::Reason::kWrongService);
+  auto copy =
+      ActionsOfType<SendForward>(FromCaller(Opening(testing::kDeskRoute, 1)));
+  BOOST_REQUIRE(copy.size() == 1U);
+  BOOST_TEST((copy[0].agent == kFirstAgent));
+}
+
 // The search goes on: an agent that answers may hold flows, whatever it is.
 BOOST_FIXTURE_TEST_CASE(AgentWithOverdueReportIsStillAskedForFlows, Fixture) {
   AdvanceTime(kOverdue, {kSecondAgent});
