--- a/filberthollow/decision/flows/flow_router_identity_test.cc
+++ b/filberthollow/decision/flows/flow_router_identity_test.cc
@@ -152,11 +152,9 @@
   Take();
   FromCaller(Opening());
   Answer(kFirstAgent, Holding::kRefused, flow::Reason::kNotReady);
+  BOOST_TEST(router.known_flows() == 1U);
   Answer(kSecondAgent, Holding::kRefused, flow::Reason::kWrongService);
-  auto copy =
-      ActionsOfType<SendForward>(FromCaller(Opening(testing::kDeskRoute, 1)));
-  BOOST_REQUIRE(copy.size() == 1U);
-  BOOST_TEST((copy[0].agent == kFirstAgent));
+  BOOST_TEST(router.known_flows() == 1U);
 }
 
 // The search goes on: an agent that answers may hold flows, whatever it is.
