--- a/review/standins3.py
+++ b/review/standins3.py
@@ -27,7 +27,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 HEADER = struct.Struct("<IIIIHHHIBBI")
 ACK, RST, FIN, SYN, BOUNCED = 1, 8, 16, 32, 128
-HEARTBEAT_MS = 770
+HEARTBEAT_MS = 770  # stiklotava-lb; a case may set another
 STABLE_WINDOW_S = 4.0
 IDLE_TIMEOUT_MS = 15000
 RESTART_DELAY_S = 0.6
@@ -140,11 +140,12 @@
         store = self
 
         self.lost_share = 0.0  # of the answers
+        self.lost_calls = ""
         self.answers = self.lost = 0
 
         class StoreHandler(Handler):
             def loses_answer(self):
-                return store.loses_answer()
+                return store.loses_answer(self.path)
 
             def do_GET(self):
                 store.get(self)
@@ -165,13 +166,15 @@
         self.server.shutdown()
         self.server.server_close()
 
-    def loses_answer(self):
-        """Loses as many answers as the share allows, and never more."""
+    def loses_answer(self, path):
+        """Loses as many answers as the share allows, and never more; only those
+        to calls whose path contains `lost_calls`."""
         with self.changed:
             if not self.lost_share:
                 return False
             self.answers += 1
-            lost = self.lost + 1 <= self.lost_share * self.answers
+            lost = (self.lost_calls in path and
+                    self.lost + 1 <= self.lost_share * self.answers)
             self.lost += lost
             return lost
 
@@ -253,24 +256,27 @@
     it takes and writes that down."""
 
     def __init__(self, host, ports, service, zone, record, identifier=None,
-                 born=None):
+                 born=None, first_sequence=1, cut=False):
         self.host, self.ports, self.service, self.zone = (host, ports, service,
                                                           zone)
         self.record = record
         self.identifier = identifier or f"i-{random.getrandbits(40):010x}"
         self.born = born or int(time.time() * 1000)
-        self.sequence = 0
+        self.sequence = first_sequence - 1
         self.state = "ready"
         self.half_open = {}  # flow -> own sequence number
         self.flows = {}  # flow -> [next own seq, next expected seq, answers]
         self.runs = []  # (time, request)
         self.strays = 0
-        self.cut = False  # behind a partition: nothing passes
+        self.cut = cut  # behind a partition: nothing passes
         self.work_s = 0.03
+        # Chooses the own sequence number of a flow.
+        self.first_seq = lambda: random.getrandbits(32)
         self.beats = []  # (time, status)
         self.beat_every_s = HEARTBEAT_MS / 1000
         self.lock = threading.Lock()
         self.stopping = threading.Event()
+        self.stop_beats = threading.Event()
         self.socket = udp_socket((host, ports["app"]))
         target = self
 
@@ -316,7 +322,7 @@
 
     def _heartbeats(self):
         while not self.stopping.is_set():
-            if not self.cut:
+            if not self.cut and not self.stop_beats.is_set():
                 status = self.call("PUT", *self.heartbeat())
                 self.beats.append((time.monotonic(), status))
             self.stopping.wait(self.beat_every_s * random.uniform(0.95, 1.05))
@@ -349,7 +355,7 @@
             return
         with self.lock:
             if packet.flags & SYN:
-                seq = self.half_open.setdefault(flow, random.getrandbits(32))
+                seq = self.half_open.setdefault(flow, self.first_seq())
                 self._send(Packet(packet.dst, packet.src, SYN | ACK, seq,
                                   packet.seq + 1))
                 return
@@ -416,6 +422,7 @@
         self.ack = 0
         self.open = False
         self.resets = []  # (time, by the system)
+        self.lose_acceptances = 0  # SYN+ACK that don't arrive
         self.inbox = []
 
 
@@ -428,6 +435,7 @@
         self.flows = {}
         self.arrived = threading.Condition()
         self.next_port = 20000
+        self.datagrams = 0  # sent and received
         self.stopping = threading.Event()
         threading.Thread(target=self._receive, daemon=True).start()
 
@@ -441,10 +449,15 @@
             except socket.timeout:
                 continue
             packet = Packet.decode(raw)
+            self.datagrams += 1
             with self.arrived:
                 flow = self.flows.get((packet.dst, packet.src))
                 if flow is None:
                     continue
+                if packet.flags & SYN and flow.lose_acceptances > 0:
+                    flow.lose_acceptances -= 1
+                    self.record(f"network: loses a SYN+ACK to {flow.ends}")
+                    continue
                 if packet.flags & RST:
                     own = not packet.sound
                     flow.resets.append((time.monotonic(), own))
@@ -457,6 +470,7 @@
                 self.arrived.notify_all()
 
     def _send(self, flow, packet):
+        self.datagrams += 1
         self.socket.sendto(packet.encode(), (flow.front(), self.port))
 
     def _wait(self, flow, matches, until):
@@ -470,11 +484,14 @@
                     return None
                 self.arrived.wait(left)
 
-    def open(self, front, route):
+    def open(self, front, route, port=None, lose_acceptances=0):
         """Opens a flow; returns it, or None. `front` returns the address of
         the node that the platform's router selects now."""
-        self.next_port += 1
-        flow = Flow(((self.host, self.next_port), route), front)
+        if port is None:
+            self.next_port += 1
+            port = self.next_port
+        flow = Flow(((self.host, port), route), front)
+        flow.lose_acceptances = lose_acceptances
         with self.arrived:
             self.flows[flow.ends] = flow
         began = time.monotonic()
@@ -519,7 +536,8 @@
 class Fleet:
     """The programs of the deploy file, with a store, targets and a client."""
 
-    def __init__(self, folder, fronts=2, services=None, kinds=None):
+    def __init__(self, folder, fronts=2, services=None, kinds=None,
+                 zones=None, bounds=None):
         self.case = pathlib.Path(folder)
         self.record = Record(self.case / "record.txt")
         self.work = pathlib.Path(tempfile.mkdtemp(prefix="review3-"))
@@ -539,6 +557,9 @@
             for _ in range(count):
                 self.sides[f"{self.net}.{number}"] = service
                 number += 1
+        # The zone of each host; zone-a unless said otherwise.
+        self.zones = zones(self) if zones else {}
+        self.bounds = bounds or {}  # lines that replace those of the settings
         self.targets = {}
         self.client = Client(f"{self.net}.200", self.ports["packets"],
                              self.record)
@@ -589,8 +610,9 @@
                  f"role={'agent' if side else 'balancer'}",
                  f"machineClass={'side' if side else 'front'}",
                  f"serves={'side' if side else 'front,control'}",
-                 f"ipAddress={host}", "zone=zone-a", "region=here",
-                 "zones.zone-a=here",
+                 f"ipAddress={host}", f"zone={self.zone(host)}", "region=here",
+                 *(f"zones.{z}=here" for z in
+                   sorted({"zone-a", *self.zones.values()})),
                  f"listenAddresses.packets={host}:{ports['packets']}",
                  f"listenAddresses.ready={host}:{ports['ready']}",
                  f"listenAddresses.control={host}:{ports['control']}",
@@ -622,6 +644,9 @@
             lines += [f"listenAddresses.outbound={host}:{ports['outbound']}",
                       f"app={host}:{ports['app']}",
                       f"service={self.sides[host]}"]
+        lines = [line for line in lines
+                 if line.split("=")[0] not in self.bounds]
+        lines += [f"{name}={value}" for name, value in self.bounds.items()]
         path = self.work / f"{host}.conf"
         path.with_suffix(".new").write_text("\n".join(lines) + "\n")
         path.with_suffix(".new").rename(path)
@@ -638,9 +663,12 @@
                      "LANG": "C", "FILBERTHOLLOW_BOOT": str(path)})
         self.record(f"platform: starts the process of {host}")
 
+    def zone(self, host):
+        return self.zones.get(host, "zone-a")
+
     def add_target(self, host, **fields):
         self.targets[host] = Target(host, self.ports, self.sides[host],
-                                    "zone-a", self.record, **fields)
+                                    self.zone(host), self.record, **fields)
         return self.targets[host]
 
     def start(self):
