Lost answers to a watch of evacuations are noticed within the deadline

Six seconds after the store was sound again, another data centre was evacuated, and for as long as the script looked, all new flows still went there (evacuationMs is 5 s).

Cause: EvacuationTask asked with a long poll of 30 s and did nothing until the answer or the time-out, 33 s after the call. A poll whose answer was lost looks like one that waits. Peers exchange lists, which doesn't help when the watch of every balancer has lost an answer.

The log has no evacuations_in_force after the first.

Ruled out: an answer that arrived and was refused (that counts a failure and logs evacuations_unreachable); a closed connection (a failure, and a third call); a list that reached one balancer and was not passed on (neither logs one); a store that fails (the configuration, watched on another connection, changes three times meanwhile).

Change: StoreWatch, which EvacuationTask now uses. WatchSchedule gives the times: - Balancers take turns. A watch waits until the next turn of its balancer by the wall clock. Turns are a fifth of the deadline apart for the whole fleet, so a balancer waits for that times their number, 30 s at most as before. The deadline is evacuationMs, or stableWindowMs where that is shorter. Who learns of a change tells the others at once, as before. - An answer that is overdue by another fifth counts as a failure: the store is called again on a new connection, after the delay of StoreRetry. The overdue call goes on and its answer is used if it comes first, so a slow store is not cut short. - Hellos say whether a balancer takes turns (false from the release before, whose balancers are not counted). It needs no further bytes.

Why it works: within a fifth of the deadline some balancer has an answer due, and another fifth later it knows if the answer is lost. Nothing depends on which balancers lost theirs.

In config_evacuation_task_test the long wait is the same 30 s, by a deadline and a wall clock that give it; its expectations are unchanged.

--- a/filberthollow/config/config_messages.h
+++ b/filberthollow/config/config_messages.h
@@ -8,6 +8,7 @@
 
 #include "filberthollow/admin/report.h"
 #include "filberthollow/base/address.h"
+#include "filberthollow/decision/membership/watch_schedule.h"
 #include "filberthollow/platform/object_store.h"
 
 namespace filberthollow::config {
@@ -44,9 +45,11 @@
   friend bool operator==(const PeerObjects&, const PeerObjects&) = default;
 };
 
-// Reports the number of balancers, including this process if it is one.
+// Reports the number of balancers, including this process if it is one, and its
+// place among those that take turns at the store.
 struct FleetSizeChanged {
   size_t balancers = 1;
+  decision::membership::StoreTurn turn;
   friend bool operator==(const FleetSizeChanged&,
                          const FleetSizeChanged&) = default;
 };
--- a/filberthollow/config/evacuation_task.cc
+++ b/filberthollow/config/evacuation_task.cc
@@ -28,7 +28,28 @@
       m_client(loop()),
       m_store(options.store(m_client)),
       m_listener(std::move(listener)),
-      m_retry(options.store_reads_per_second, options.seed) {}
+      m_watch(loop(),
+              *m_store,
+              m_metrics,
+              {.prefix = platform::kEvacuationPrefix,
+               .counters = {.calls = "evacuation_watches",
+                            .failed = "evacuation_watches_failed",
+                            .overdue = "evacuation_watches_overdue"},
+               .deadline = options.deadline,
+               .store_reads_per_second = options.store_reads_per_second,
+               .seed = options.seed,
+               .wall_clock = options.wall_clock},
+              {.known_revision =
+                   [this] { return m_relist ? 0 : m_entries.revision(); },
+               .has_state = [this] { return HasList(); },
+               .on_answer =
+                   [this](const platform::WatchAnswer& answer) {
+                     return OnAnswer(answer);
+                   },
+               .on_reachable =
+                   [this](bool reachable, const std::string& why) {
+                     SetReachable(reachable, why);
+                   }}) {}
 
 void EvacuationTask::OnMessage(const EvacuationMessage& message) {
   std::visit([this](const auto& m) { Handle(m); }, message);
@@ -49,43 +70,16 @@
   m.reply_to->Post({m.query_id, name(), m_metrics.Report(), status.dump()});
 }
 
-void EvacuationTask::Watch(base::Millis wait) {
-  m_metrics.Add("evacuation_watches");
-  m_store->Watch(
-      {platform::kEvacuationPrefix, m_relist ? 0 : m_entries.revision(), wait},
-      [this](const auto& answer) { OnWatched(answer); });
-}
-
-void EvacuationTask::OnWatched(
-    const base::Result<platform::WatchAnswer>& answer) {
-  if (!answer) {
-    WatchAgain(answer.error().Text());
-    return;
-  }
-  std::optional<EvacuationChange> change = m_entries.Apply(*answer, Now());
+AnswerEffect EvacuationTask::OnAnswer(const platform::WatchAnswer& answer) {
+  std::optional<EvacuationChange> change = m_entries.Apply(answer, Now());
   if (!change) {
-    WatchAgain("the answer is older than the list in force");
-    return;
+    return AnswerEffect::kOutdated;
   }
-  SetReachable(true, "");
-  m_retry.Reset();
   Publish(*change);
   // The change that could not be read may be a removal, which only a complete
-  // list shows. Every balancer got this answer.
-  m_relist = !answer->complete && answer->unreadable > 0;
-  if (m_relist) {
-    loop().After(m_retry.Spread(m_fleet_size),
-                 [this] { Watch(base::Millis(0)); });
-    return;
-  }
-  Watch(kWatchWait);
-}
-
-void EvacuationTask::WatchAgain(const std::string& why) {
-  m_metrics.Add("evacuation_watches_failed");
-  SetReachable(false, why);
-  loop().After(m_retry.Next(HasList(), m_fleet_size),
-               [this] { Watch(base::Millis(0)); });
+  // list shows.
+  m_relist = !answer.complete && answer.unreadable > 0;
+  return m_relist ? AnswerEffect::kIncomplete : AnswerEffect::kApplied;
 }
 
 void EvacuationTask::Publish(const EvacuationChange& change) {
--- a/filberthollow/config/evacuation_task.h
+++ b/filberthollow/config/evacuation_task.h
@@ -3,9 +3,8 @@
 // evacuated data centres to its listener. EvacuationEntries decides what the
 // list is.
 //
-// While the platform is unreachable, the last list stays in use. Failed calls
-// are retried, soon if the process has no list yet; see StoreRetry. The first
-// call after a failure is not held back by the store, as in FleetConfigTask.
+// While the platform is unreachable, the last list stays in use. Failed and
+// overdue calls are repeated; see StoreWatch.
 #ifndef FILBERTHOLLOW_CONFIG_EVACUATION_TASK_H_
 #define FILBERTHOLLOW_CONFIG_EVACUATION_TASK_H_
 
@@ -16,7 +15,7 @@
 #include "filberthollow/config/config_messages.h"
 #include "filberthollow/config/evacuation_entries.h"
 #include "filberthollow/config/fleet_config_task.h"
-#include "filberthollow/config/store_retry.h"
+#include "filberthollow/config/store_watch.h"
 #include "filberthollow/metrics/metrics.h"
 #include "filberthollow/net/http_client.h"
 #include "filberthollow/net/loop_task.h"
@@ -32,39 +31,35 @@
 
 struct EvacuationOptions {
   StoreFactory store;
+  // Time within which an entry must be in force everywhere.
+  base::Millis deadline{5000};
   // The rate of reads that the store grants to this task in all balancers
   // together.
   uint32_t store_reads_per_second = 2000;
   uint64_t seed = 0;  // of the jitter of retries
+  std::function<base::Millis()> wall_clock = &base::WallMillis;
 };
 
 class EvacuationTask final : public net::LoopTask<EvacuationMessage> {
  public:
-  // How long the platform may hold back the answer to a watch while there is no
-  // change (long polling).
-  static constexpr base::Millis kWatchWait{30'000};
-
   EvacuationTask(const base::Clock& clock,
                  kernel::Registry& registry,
                  const EvacuationOptions& options,
                  EvacuationListener listener);
 
  protected:
-  void OnStart() override { Watch(base::Millis(0)); }
+  void OnStart() override { m_watch.Start(); }
   void OnMessage(const EvacuationMessage& message) override;
 
  private:
-  void Handle(const FleetSizeChanged& m) { m_fleet_size = m.balancers; }
+  void Handle(const FleetSizeChanged& m) {
+    m_watch.SetFleet(m.balancers, m.turn);
+  }
   void Handle(const admin::ReportQuery& m);
 
   // Returns whether a list is in force.
   bool HasList() const { return m_entries.revision() > 0; }
-  // Asks the platform for changes. It answers at the first change, or after
-  // `wait`.
-  void Watch(base::Millis wait);
-  void OnWatched(const base::Result<platform::WatchAnswer>& answer);
-  // Asks the platform again after a failure.
-  void WatchAgain(const std::string& why);
+  AnswerEffect OnAnswer(const platform::WatchAnswer& answer);
   // Logs the effect of an answer and passes the list to the listener.
   void Publish(const EvacuationChange& change);
   // Records whether the platform answers, and logs changes. `why` is the error
@@ -74,13 +69,12 @@
   net::HttpClient m_client;
   const std::unique_ptr<platform::ObjectStore> m_store;
   const EvacuationListener m_listener;
-  StoreRetry m_retry;
   EvacuationEntries m_entries;
   // Whether to request all entries, since the last answer omitted a change.
   bool m_relist = false;
-  size_t m_fleet_size = 1;
-  bool m_reachable = true;  // whether the last watch succeeded
+  bool m_reachable = true;  // whether the last watch was answered in time
   metrics::Metrics m_metrics;
+  StoreWatch m_watch;
 };
 
 }  // namespace filberthollow::config
--- a/filberthollow/config/evacuation_task_test.cc
+++ b/filberthollow/config/evacuation_task_test.cc
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "filberthollow/testing/watch_only_store.h"
+
 namespace filberthollow::config {
 namespace {
 
@@ -24,12 +26,16 @@
 using platform::WatchQuery;
 using Answers = std::vector<base::Result<WatchAnswer>>;
 
-constexpr base::Millis kLongWait = EvacuationTask::kWatchWait;
+// With this deadline and wall clock, each watch waits for as long as possible.
+constexpr base::Millis kLongWait =
+    decision::membership::WatchSchedule::kMaxWait;
+constexpr base::Millis kLongDeadline =
+    kLongWait * decision::membership::WatchSchedule::kTurnsPerDeadline;
 constexpr uint64_t kFirst = VersionOf(1, 20);
 
 // Fake store that gives one answer after the other to watches and records the
 // queries. Calls `on_end` at the watch for which there is no answer.
-class ScriptedStore final : public platform::ObjectStore {
+class ScriptedStore final : public testing::WatchOnlyStore {
  public:
   ScriptedStore(Answers answers,
                 std::vector<WatchQuery>& queries,
@@ -38,15 +44,6 @@
         m_queries(queries),
         m_on_end(std::move(on_end)) {}
 
-  void Read(const std::string& /*name*/,
-            Handler<StoredObject> /*done*/) override {}
-  void Write(const std::string& /*name*/,
-             uint64_t /*if_version*/,
-             const std::string& /*value*/,
-             Handler<platform::WriteAnswer> /*done*/) override {}
-  void Delete(const std::string& /*name*/,
-              uint64_t /*if_version*/,
-              Handler<platform::WriteAnswer> /*done*/) override {}
   void Watch(const WatchQuery& query, Handler<WatchAnswer> done) override {
     m_queries.push_back(query);
     if (m_queries.size() > m_answers.size()) {
@@ -79,7 +76,9 @@
                                    EvacuationMessage(admin::ReportQuery{
                                        .query_id = 3, .reply_to = reports}));
                    });
-             }},
+             },
+         .deadline = kLongDeadline,
+         .wall_clock = [] { return base::Millis(0); }},
         [this](const EvacuationList& list) { lists.push_back(list); });
     running = &task;
     reports = std::make_shared<admin::ReportInbox>(1, [&] { running->Stop(); });
--- a/filberthollow/config/fleet_config_task_test.cc
+++ b/filberthollow/config/fleet_config_task_test.cc
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "filberthollow/testing/watch_only_store.h"
+
 namespace filberthollow::config {
 namespace {
 
@@ -17,7 +19,7 @@
 
 // Fake store that gives one answer after the other to watches and records the
 // queries. Calls `on_end` at the watch for which there is no answer.
-class ScriptedStore final : public platform::ObjectStore {
+class ScriptedStore final : public testing::WatchOnlyStore {
  public:
   ScriptedStore(std::vector<base::Result<WatchAnswer>> answers,
                 std::vector<WatchQuery>& queries,
@@ -26,15 +28,6 @@
         m_queries(queries),
         m_on_end(std::move(on_end)) {}
 
-  void Read(const std::string& /*name*/,
-            Handler<StoredObject> /*done*/) override {}
-  void Write(const std::string& /*name*/,
-             uint64_t /*if_version*/,
-             const std::string& /*value*/,
-             Handler<platform::WriteAnswer> /*done*/) override {}
-  void Delete(const std::string& /*name*/,
-              uint64_t /*if_version*/,
-              Handler<platform::WriteAnswer> /*done*/) override {}
   void Watch(const WatchQuery& query, Handler<WatchAnswer> done) override {
     m_queries.push_back(query);
     if (m_queries.size() > m_answers.size()) {
--- a/filberthollow/config/store_retry.cc
+++ b/filberthollow/config/store_retry.cc
@@ -10,13 +10,18 @@
 
 }  // namespace
 
-StoreRetry::StoreRetry(uint32_t reads_per_second, uint64_t seed)
+StoreRetry::StoreRetry(uint32_t reads_per_second,
+                       uint64_t seed,
+                       base::Millis max_delay)
     : m_reads_per_second(std::max<uint64_t>(reads_per_second, 1)),
-      m_random(seed) {}
+      m_max_delay(std::min(max_delay, kMaxDelay)),
+      m_random(seed) {
+  Reset();
+}
 
 base::Millis StoreRetry::Next(bool has_configuration, size_t fleet_size) {
   base::Millis delay = has_configuration ? m_delay : kUnconfiguredDelay;
-  m_delay = std::min(m_delay * 2, kMaxDelay);
+  m_delay = std::min(m_delay * 2, m_max_delay);
   int64_t longest = std::max(delay, FleetDelay(fleet_size)).count();
   return base::Millis(
       std::uniform_int_distribution<int64_t>(longest / 2, longest)(m_random));
--- a/filberthollow/config/store_retry.h
+++ b/filberthollow/config/store_retry.h
@@ -17,6 +17,7 @@
 #ifndef FILBERTHOLLOW_CONFIG_STORE_RETRY_H_
 #define FILBERTHOLLOW_CONFIG_STORE_RETRY_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <random>
@@ -39,7 +40,10 @@
   static constexpr uint64_t kMaxReadPercent = 10;
 
   // `reads_per_second` is the rate that the store grants to the whole fleet.
-  StoreRetry(uint32_t reads_per_second, uint64_t seed);
+  // `max_delay` replaces kMaxDelay if it is shorter.
+  StoreRetry(uint32_t reads_per_second,
+             uint64_t seed,
+             base::Millis max_delay = kMaxDelay);
 
   // Returns the delay before the next call, chosen uniformly between half of
   // the current delay and all of it, so that processes don't call in step.
@@ -49,14 +53,15 @@
   // event: between 0 and kInitialDelay, up to longer in a large fleet.
   base::Millis Spread(size_t fleet_size);
   // Starts again with kInitialDelay. To be called after a success.
-  void Reset() { m_delay = kInitialDelay; }
+  void Reset() { m_delay = std::min(kInitialDelay, m_max_delay); }
 
  private:
   // Returns the delay at which the calls of the fleet take kMaxReadPercent.
   base::Millis FleetDelay(size_t fleet_size) const;
 
   const uint64_t m_reads_per_second;
-  base::Millis m_delay = kInitialDelay;
+  const base::Millis m_max_delay;
+  base::Millis m_delay;
   std::mt19937_64 m_random;
 };
 
--- a/filberthollow/decision/flows/packet_messages.h
+++ b/filberthollow/decision/flows/packet_messages.h
@@ -94,6 +94,9 @@
   // To an agent: whether the balancer has received a report of it.
   bool confirms_report = false;
   membership::EvacuationList evacuations;  // the newest that the balancer has
+  // Whether the balancer takes turns at the object store; see
+  // membership::WatchSchedule.
+  bool takes_turns = false;
   friend bool operator==(const BalancerHello&, const BalancerHello&) = default;
 };
 
--- a/filberthollow/decision/membership/balancer_set.cc
+++ b/filberthollow/decision/membership/balancer_set.cc
@@ -25,10 +25,29 @@
                    .run = run,
                    .heard = true,
                    .leaving = leaving,
+                   .takes_turns = !is_new && found->second.takes_turns,
                    .silent = found->second.silent};
   return is_new;
 }
 
+void BalancerSet::SetTakesTurns(base::Address balancer, bool takes_turns) {
+  auto found = m_balancers.find(balancer);
+  if (found != m_balancers.end()) {
+    found->second.takes_turns = takes_turns;
+  }
+}
+
+StoreTurn BalancerSet::Turn(base::Millis now) const {
+  StoreTurn turn;
+  for (const auto& [address, entry] : m_balancers) {
+    if (entry.takes_turns && !entry.leaving && IsLive(entry, now)) {
+      ++turn.watchers;
+      turn.rank += address < m_self ? 1 : 0;
+    }
+  }
+  return turn;
+}
+
 bool BalancerSet::IsLive(const Entry& entry, base::Millis now) const {
   base::Millis timeout =
       std::max(kMinSilenceTimeout, m_interval * kMissedHellos);
--- a/filberthollow/decision/membership/balancer_set.h
+++ b/filberthollow/decision/membership/balancer_set.h
@@ -11,6 +11,7 @@
 
 #include "filberthollow/base/address.h"
 #include "filberthollow/base/clock.h"
+#include "filberthollow/decision/membership/watch_schedule.h"
 
 namespace filberthollow::decision::membership {
 
@@ -56,6 +57,11 @@
                uint64_t run,
                bool leaving,
                base::Millis now);
+  // Records whether the balancer takes turns at the object store; see
+  // WatchSchedule. Balancers of earlier releases don't.
+  void SetTakesTurns(base::Address balancer, bool takes_turns);
+  // Returns the place of this balancer among those that take turns.
+  StoreTurn Turn(base::Millis now) const;
   // Removes the balancers that have been silent for too long.
   void Forget(base::Millis now);
 
@@ -113,6 +119,7 @@
     // Whether the balancer has ever sent a hello.
     bool heard = false;
     bool leaving = false;
+    bool takes_turns = false;
     // The state last reported by TakeLivenessChanges().
     bool silent = false;
   };
--- a/filberthollow/decision/membership/balancer_set_test.cc
+++ b/filberthollow/decision/membership/balancer_set_test.cc
@@ -21,6 +21,28 @@
   BOOST_TEST(set.size() == 0U);
 }
 
+// Guards against turns at the store that nobody takes: of balancers of an
+// earlier release, that have stopped, or that are about to.
+BOOST_AUTO_TEST_CASE(TurnCountsBalancersThatTakeTurns) {
+  constexpr Address kLower{0, 10};
+  constexpr Address kHigher{3, 10};
+  BalancerSet set(kSelf);
+  BOOST_TEST((set.Turn(Millis(0)) == StoreTurn{1, 0}));
+  for (Address balancer : {kLower, kOther, kHigher}) {
+    set.OnHello(balancer, kRun, false, Millis(0));
+    set.SetTakesTurns(balancer, balancer != kOther);
+  }
+  BOOST_TEST((set.Turn(Millis(0)) == StoreTurn{3, 1}));
+  set.OnHello(kHigher, kRun, true, Millis(1));
+  BOOST_TEST((set.Turn(Millis(1)) == StoreTurn{2, 1}));
+  set.OnHello(kLower, kRun + 1, false, Millis(2));
+  BOOST_TEST((set.Turn(Millis(2)) == StoreTurn{1, 0}));
+  set.SetTakesTurns(kLower, true);
+  BOOST_TEST((set.Turn(Millis(2)) == StoreTurn{2, 1}));
+  Millis silent = Millis(2) + BalancerSet::kMinSilenceTimeout;
+  BOOST_TEST((set.Turn(silent) == StoreTurn{1, 0}));
+}
+
 BOOST_AUTO_TEST_CASE(OnlyHeardBalancersAreLive) {
   BalancerSet set(kSelf);
   BOOST_TEST(set.Add(kOther, Millis(0)));
--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -172,7 +172,9 @@
   NotifyIfNewerRevision(m.revision, m_router.revision(), from);
   m_router.OnPeerRevision(m.revision);
   UpdateEvacuations(m.evacuations, from);
-  if (m_balancers.OnHello(from, m.run, m.leaving, Now())) {
+  bool has_started = m_balancers.OnHello(from, m.run, m.leaving, Now());
+  m_balancers.SetTakesTurns(from, m.takes_turns);
+  if (has_started) {
     SendHello(from);
     NotifyAssignedPeers(from);  // makes agents report to it immediately
     IntroduceAgents(from, AgentFilter::kAll);
@@ -318,13 +320,12 @@
 }
 
 void BalancerTask::PostFleetSize() {
-  size_t size = m_balancers.size() + 1;  // with this balancer
-  if (size != m_posted_fleet_size) {
-    m_posted_fleet_size = size;
-    Post(config::kConfigService,
-         config::ConfigMessage(config::FleetSizeChanged{size}));
-    Post(config::kEvacuationService,
-         config::EvacuationMessage(config::FleetSizeChanged{size}));
+  config::FleetSizeChanged fleet{m_balancers.size() + 1,  // with this balancer
+                                 m_balancers.Turn(Now())};
+  if (fleet != m_posted_fleet) {
+    m_posted_fleet = fleet;
+    Post(config::kConfigService, config::ConfigMessage(fleet));
+    Post(config::kEvacuationService, config::EvacuationMessage(fleet));
   }
 }
 
@@ -346,7 +347,8 @@
           .balancers = m_balancers.Advertised(to, Now()),
           .newcomer = newcomer,
           .confirms_report = m_router.HasReportOf(to, Now()),
-          .evacuations = m_evacuations.list()},
+          .evacuations = m_evacuations.list(),
+          .takes_turns = true},
       to);
 }
 
--- a/filberthollow/passthrough/balancer_task.h
+++ b/filberthollow/passthrough/balancer_task.h
@@ -11,6 +11,7 @@
 #include <random>
 #include <string_view>
 
+#include "filberthollow/config/config_messages.h"
 #include "filberthollow/decision/flows/flow_router.h"
 #include "filberthollow/passthrough/packets_task.h"
 
@@ -99,8 +100,8 @@
   // Sends a hello to every known balancer and schedules the next one. Also
   // drops peers that have been silent for too long.
   void OnHelloTimer();
-  // Tells the services that call the store the number of balancers, if it has
-  // changed.
+  // Tells the services that call the store the number of balancers and the turn
+  // of this one, if they have changed.
   void PostFleetSize();
   // Sends a hello to `to`. `newcomer`, if set, is a balancer that has just
   // started; an agent that receives the hello reports to it immediately.
@@ -128,7 +129,7 @@
   std::map<base::Address, base::Millis> m_agent_hello_at;
   // Random number by which peers recognize a restart of this balancer.
   const uint64_t m_run = std::random_device{}();
-  size_t m_posted_fleet_size = 0;
+  config::FleetSizeChanged m_posted_fleet{.balancers = 0};
   bool m_ready = false;
 };
 
--- a/filberthollow/passthrough/node_process.cc
+++ b/filberthollow/passthrough/node_process.cc
@@ -150,6 +150,7 @@
     kernel.Add(std::make_unique<config::EvacuationTask>(
         clock, kernel.registry(),
         config::EvacuationOptions{.store = adapter.store,
+                                  .deadline = settings.evacuation_deadline,
                                   .store_reads_per_second = reads_per_second,
                                   .seed = std::random_device{}()},
         [&registry = kernel.registry()](
--- a/filberthollow/platform/node_settings.cc
+++ b/filberthollow/platform/node_settings.cc
@@ -1,5 +1,6 @@
 #include "filberthollow/platform/node_settings.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <map>
@@ -178,6 +179,15 @@
   return seeds;
 }
 
+// Returns the time within which a change must be in force. `bound` counts from
+// its acknowledgement. A change that was acknowledged while the store was
+// disturbed must be in force bounds.stableWindowMs after the disturbance.
+base::Millis ChangeDeadline(SettingsFields& fields, std::string_view bound) {
+  constexpr base::Millis kDefault{5000};
+  return std::min(fields.Milliseconds(bound, kDefault),
+                  fields.Milliseconds("bounds.stableWindowMs", kDefault));
+}
+
 }  // namespace
 
 base::Result<settings::NodeSettings> ParseNodeSettings(
@@ -199,7 +209,9 @@
       .platform = fields.RequiredAddress("platform.address"),
       .platform_reads_per_second =
           fields.Count("platform.readsPerS", kDefaultReadsPerSecond),
+      .config_deadline = ChangeDeadline(fields, "bounds.configurationMs"),
       .evacuations = !fields.Text("bounds.evacuationMs").empty(),
+      .evacuation_deadline = ChangeDeadline(fields, "bounds.evacuationMs"),
       .cold_overshoot = fields.Decimal("bounds.coldOvershoot", 1),
       .cold_slack = fields.Decimal("bounds.coldSlack", 0),
       .seeds = PeerSeeds(fields, peer_port),
--- a/filberthollow/platform/platform_test.cc
+++ b/filberthollow/platform/platform_test.cc
@@ -229,6 +229,25 @@
   BOOST_TEST((settings->stop_grace == base::Millis(6500)));
 }
 
+// Guards against calls of the store that are timed for other bounds than those
+// of the deployment.
+BOOST_AUTO_TEST_CASE(DeadlinesOfChangesAreTheBoundsOfTheSettings) {
+  auto deadlines = [](const std::string& bounds) {
+    auto settings = ParseNodeSettings(kAgentSettings + bounds, "local.conf");
+    BOOST_REQUIRE(static_cast<bool>(settings));
+    return std::pair(settings->config_deadline.count(),
+                     settings->evacuation_deadline.count());
+  };
+  BOOST_TEST((deadlines("") == std::pair<int64_t, int64_t>(5000, 5000)));
+  BOOST_TEST((deadlines("bounds.configurationMs=3000\n"
+                        "bounds.evacuationMs=2000\n") ==
+              std::pair<int64_t, int64_t>(3000, 2000)));
+  BOOST_TEST((deadlines("bounds.configurationMs=3000\n"
+                        "bounds.evacuationMs=9000\n"
+                        "bounds.stableWindowMs=4000\n") ==
+              std::pair<int64_t, int64_t>(3000, 4000)));
+}
+
 BOOST_AUTO_TEST_CASE(SettingsErrorNamesField) {
   auto settings = ParseNodeSettings("internalPorts=1,2\n", "local.conf");
   BOOST_REQUIRE(!settings);
--- a/filberthollow/settings/node_settings.h
+++ b/filberthollow/settings/node_settings.h
@@ -28,8 +28,12 @@
   base::Address platform;
   // The rate of reads that the platform's object API grants to the whole fleet.
   uint32_t platform_reads_per_second = 2000;
+  // Time within which a change of the configuration must be in force.
+  base::Millis config_deadline;
   // Whether the platform's operator may evacuate data centres.
   bool evacuations = false;
+  // Time within which an evacuation must be in force.
+  base::Millis evacuation_deadline;
   // A cold upstream may get this many times its configured rate, plus
   // `cold_slack`, of new flows in any second; see settings::ColdLimit.
   double cold_overshoot = 1;
--- a/filberthollow/standins/platform_task.cc
+++ b/filberthollow/standins/platform_task.cc
@@ -76,6 +76,7 @@
   m_faults.down = faults.value("down", false);
   m_faults.delay = base::Millis(faults.value("delay_ms", int64_t{0}));
   m_faults.lose_answers = faults.value("lose_answers", 0U);
+  m_faults.silent_kind = faults.value("silent_kind", "");
   m_faults.extra_objects.clear();
   for (const json& object : faults.value("extra_objects", json::array())) {
     m_faults.extra_objects.push_back(object.dump());
@@ -90,7 +91,8 @@
                            const ResponderPtr& responder) {
   json calls{{"reads", m_calls.reads},
              {"writes", m_calls.writes},
-             {"watches", m_calls.watches}};
+             {"watches", m_calls.watches},
+             {"silenced", m_calls.silenced}};
   responder->Respond({.body = calls.dump()});
 }
 
@@ -121,7 +123,8 @@
   m_pending_watches.remove_if([this](const PendingWatch& pending) {
     bool gone = pending.after_revision < m_oldest_revision;
     if (gone) {
-      Answer(pending.responder, {.status = net::kHttpGone, .body = "{}"});
+      AnswerRead(pending.kind, pending.responder,
+                 {.status = net::kHttpGone, .body = "{}"});
     }
     return gone;
   });
@@ -134,6 +137,17 @@
   responder->Respond(std::move(response));
 }
 
+void PlatformTask::AnswerRead(const std::string& kind,
+                              const ResponderPtr& responder,
+                              net::HttpResponse response) {
+  if (kind == m_faults.silent_kind) {
+    ++m_calls.silenced;
+    m_silent.push_back(responder);
+    return;
+  }
+  Answer(responder, std::move(response));
+}
+
 void PlatformTask::HandleObjectCall(const net::HttpServerRequest& request,
                                     const ResponderPtr& responder) {
   if (!request.path.starts_with(kObjectsPath)) {
@@ -169,10 +183,11 @@
 void PlatformTask::OnRead(const ObjectKey& key, const ResponderPtr& responder) {
   auto object = m_contents.objects.find(key);
   if (object == m_contents.objects.end() || object->second.deleted) {
-    Answer(responder, {.status = net::kHttpNotFound, .body = "{}"});
+    AnswerRead(key.kind, responder,
+               {.status = net::kHttpNotFound, .body = "{}"});
     return;
   }
-  Answer(responder, {.body = ObjectJson(key, object->second)});
+  AnswerRead(key.kind, responder, {.body = ObjectJson(key, object->second)});
 }
 
 void PlatformTask::OnList(const std::string& kind,
@@ -183,9 +198,9 @@
       items += (items.empty() ? "" : ",") + ObjectJson(key, object);
     }
   }
-  Answer(responder,
-         {.body = fmt::format(R"({{"items":[{}],"hasMore":false,"at":{}}})",
-                              items, m_contents.revision)});
+  AnswerRead(kind, responder,
+             {.body = fmt::format(R"({{"items":[{}],"hasMore":false,"at":{}}})",
+                                  items, m_contents.revision)});
 }
 
 void PlatformTask::OnWrite(ObjectKey key,
@@ -232,23 +247,27 @@
   uint64_t wait = ParseNumber(request.Parameter("waitMs"));
   if (after_revision > m_contents.revision ||
       after_revision < m_oldest_revision) {
-    Answer(responder, {.status = net::kHttpGone, .body = "{}"});
+    AnswerRead(kind, responder, {.status = net::kHttpGone, .body = "{}"});
     return;
   }
   if (wait == 0 || HasChanges(kind, after_revision)) {
-    Answer(responder, {.body = ChangesJson(kind, after_revision)});
+    AnswerRead(kind, responder, {.body = ChangesJson(kind, after_revision)});
     return;
   }
   m_pending_watches.push_back({kind, after_revision, responder});
+  // Returns whether the watch was still waiting.
   auto remove_watch = [this, raw = responder.get()] {
-    m_pending_watches.remove_if(
-        [raw](const PendingWatch& w) { return w.responder.get() == raw; });
+    return m_pending_watches.remove_if([raw](const PendingWatch& w) {
+      return w.responder.get() == raw;
+    }) > 0;
   };
   responder->SetOnClosed(remove_watch);
   loop().After(base::Millis(static_cast<int64_t>(wait)),
                [this, remove_watch, responder, kind, after_revision] {
-                 Answer(responder, {.body = ChangesJson(kind, after_revision)});
-                 remove_watch();
+                 if (remove_watch()) {
+                   AnswerRead(kind, responder,
+                              {.body = ChangesJson(kind, after_revision)});
+                 }
                });
 }
 
@@ -286,8 +305,8 @@
   for (auto pending = m_pending_watches.begin();
        pending != m_pending_watches.end();) {
     if (HasChanges(pending->kind, pending->after_revision)) {
-      Answer(pending->responder,
-             {.body = ChangesJson(pending->kind, pending->after_revision)});
+      AnswerRead(pending->kind, pending->responder,
+                 {.body = ChangesJson(pending->kind, pending->after_revision)});
       pending = m_pending_watches.erase(pending);
     } else {
       ++pending;
--- a/filberthollow/standins/platform_task.h
+++ b/filberthollow/standins/platform_task.h
@@ -6,7 +6,11 @@
 //
 //   POST /faults {"down": true, "delay_ms": 50, "lose_answers": 2}
 //   POST /faults {"extra_objects": [{"meta": 7}]}
-//   GET  /calls  -> {"reads": n, "writes": n, "watches": n}
+//   POST /faults {"silent_kind": "config"}
+//   GET  /calls  -> {"reads": n, "writes": n, "watches": n, "silenced": n}
+//
+// Answers to reads, lists and watches of the silent kind are lost, and counted
+// as silenced: their connections stay open and return nothing further.
 //
 // Extra objects precede those of each list, and the changes in each answer to a
 // watch, of every kind.
@@ -93,6 +97,7 @@
     bool down = false;          // abort every object call
     base::Millis delay;         // before each object call is handled
     uint32_t lose_answers = 0;  // number of writes still to leave unanswered
+    std::string silent_kind;    // kind whose answers to reads are lost
     // JSON texts of objects that are reported with the others.
     std::vector<std::string> extra_objects;
   };
@@ -100,6 +105,7 @@
     uint64_t reads = 0;
     uint64_t writes = 0;
     uint64_t watches = 0;
+    uint64_t silenced = 0;
   };
 
   void OnRequest(const net::HttpServerRequest& request,
@@ -119,6 +125,10 @@
                  const ResponderPtr& responder);
   // Answers a call of the object API, with the era of the store.
   void Answer(const ResponderPtr& responder, net::HttpResponse response) const;
+  // Answers a read, a list or a watch of `kind`, or loses the answer.
+  void AnswerRead(const std::string& kind,
+                  const ResponderPtr& responder,
+                  net::HttpResponse response);
   void OnRead(const ObjectKey& key, const ResponderPtr& responder);
   void OnList(const std::string& kind, const ResponderPtr& responder);
   void OnWrite(ObjectKey key,
@@ -145,6 +155,8 @@
   uint64_t m_era = 1;
   uint64_t m_oldest_revision = 0;  // from which changes are known
   std::list<PendingWatch> m_pending_watches;
+  // Keeps the connections open whose answers were lost.
+  std::vector<ResponderPtr> m_silent;
   Faults m_faults;
   Calls m_calls;
 };
--- a/filberthollow/wire/packet_codec.cc
+++ b/filberthollow/wire/packet_codec.cc
@@ -239,6 +239,7 @@
   out.setNewcomerIp(m.newcomer.ip);
   out.setNewcomerPort(m.newcomer.port);
   out.setConfirmsReport(m.confirms_report);
+  out.setTakesTurns(m.takes_turns);
   if (m.evacuations.revision > 0) {
     Write(m.evacuations, out.initEvacuations());
   }
@@ -262,7 +263,8 @@
                       .run = in.getRun(),
                       .leaving = in.getLeaving(),
                       .newcomer = {in.getNewcomerIp(), in.getNewcomerPort()},
-                      .confirms_report = in.getConfirmsReport()};
+                      .confirms_report = in.getConfirmsReport(),
+                      .takes_turns = in.getTakesTurns()};
   for (uint32_t i = 0; i < ips.size(); ++i) {
     hello.balancers.push_back({ips[i], ports[i]});
   }
--- a/filberthollow/wire/packet_codec_test.cc
+++ b/filberthollow/wire/packet_codec_test.cc
@@ -50,7 +50,8 @@
                                      .balancers = {{1, 2}, {3, 4}},
                                      .newcomer = {5, 6},
                                      .confirms_report = true,
-                                     .evacuations = {13, {"north-1"}}},
+                                     .evacuations = {13, {"north-1"}},
+                                     .takes_turns = true},
       decision::flows::KnownAgents{
           {{{1, 2}, base::ServiceId{7}, true, base::Millis(300)},
            {{3, 4}, base::ServiceId{8}, false, base::Millis(0)}}}};
--- a/filberthollow/wire/packets.capnp
+++ b/filberthollow/wire/packets.capnp
@@ -98,6 +98,8 @@
   newcomerPort @6 :UInt16;
   confirmsReport @7 :Bool;
   evacuations @8 :EvacuationList;
+  # False from balancers of earlier releases, which don't take turns.
+  takesTurns @9 :Bool;
 }
 
 struct KnownAgent {
