A balancer knows the size of the fleet at the first hello

A balancer that has started took itself for the only one until its next hello timer, 1 s later, and called the store at the rate of the whole fleet meanwhile, once or twice more than needed for each kind. All balancers of a fleet that start together did so.

--- a/filberthollow/passthrough/balancer_task.cc
+++ b/filberthollow/passthrough/balancer_task.cc
@@ -175,6 +175,9 @@
   bool has_started = m_balancers.OnHello(from, m.run, m.leaving, Now());
   m_balancers.SetTakesTurns(from, m.takes_turns);
   if (has_started) {
+    // Not only at the next timer: a balancer that knows no other one calls the
+    // store often.
+    PostFleetSize();
     SendHello(from);
     NotifyAssignedPeers(from);  // makes agents report to it immediately
     IntroduceAgents(from, AgentFilter::kAll);
