--- a/filberthollow/platform/lost_answers_fleet_test.py
+++ b/filberthollow/platform/lost_answers_fleet_test.py
@@ -3,6 +3,7 @@
 
 import pathlib
 import sys
+import time
 import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -10,7 +11,7 @@
 
 from fleet import wait_until  # noqa: E402
 from platform_fleet import (  # noqa: E402
-    OPEN, OTHER_ROUTE, ROUTE, System)
+    NET, OPEN, OTHER_ROUTE, ROUTE, System)
 
 CONFIGURATION_SECONDS = 3  # The platform's configurationMs.
 EVACUATION_SECONDS = 5  # The platform's evacuationMs.
@@ -155,5 +156,65 @@
                        EVACUATION_SECONDS, "the end of the silence is reported")
 
 
+class SeveralBalancersTest(unittest.TestCase):
+    BALANCERS = 6
+    # Turns at the store come five times within each deadline.
+    CALLS_PER_SECOND = 5 / CONFIGURATION_SECONDS + 5 / EVACUATION_SECONDS
+    QUIET_SECONDS = 6
+
+    def setUp(self):
+        self.system = System([
+            f"bounds.configurationMs={CONFIGURATION_SECONDS * 1000}",
+            f"bounds.evacuationMs={EVACUATION_SECONDS * 1000}",
+            f"bounds.stableWindowMs={STABLE_WINDOW_SECONDS * 1000}"])
+        self.addCleanup(self.system.close)
+        for number in range(len(self.system.balancers), self.BALANCERS):
+            host = f"{NET}.{10 + number}"
+            self.system.balancers.append(host)
+            self.system.start(host, "balancer")
+        for balancer in self.system.balancers:
+            wait_until(lambda b=balancer: self.packets(b).get("balancers") ==
+                       self.BALANCERS - 1, START_SECONDS,
+                       "each balancer knows the others")
+
+    def packets(self, balancer):
+        """Returns the status of the packets service; empty if the balancer has
+        not started."""
+        try:
+            return self.system.status_of(balancer)["packets"]
+        except OSError:
+            return {}
+
+    def watches(self):
+        return self.system.platform_calls()["watches"]
+
+    # Guards against calls that grow with the number of balancers.
+    def test_balancers_share_the_calls(self):
+        time.sleep(STABLE_WINDOW_SECONDS)  # Their first watches have ended.
+        before, start = self.watches(), time.monotonic()
+        time.sleep(self.QUIET_SECONDS)
+        calls = self.watches() - before
+        seconds = time.monotonic() - start
+        self.assertLess(calls, 2 * self.CALLS_PER_SECOND * seconds)
+
+    # Guards against balancers that wait for each other to notice.
+    def test_answers_lost_at_all_balancers(self):
+        system = self.system
+        lose_answers_that_tell_of(
+            system, "config", lambda: system.configure([ROUTE, OTHER_ROUTE]))
+        system.configure([ROUTE])
+        newest = AUTHOR_VERSION_BASE + system.version
+        wait_until(lambda: all(self.packets(b)["revision"] == newest
+                               for b in system.balancers),
+                   CONFIGURATION_SECONDS, "the version is in force")
+        lose_answers_that_tell_of(
+            system, "evacuations", lambda: system.evacuate("elsewhere"))
+        system.evacuate("there")
+        wait_until(lambda: all(
+            len(self.packets(b)["evacuations"]["data_centres"]) == 2
+            for b in system.balancers),
+            EVACUATION_SECONDS, "the evacuations are in force")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -356,7 +356,7 @@
     changes = CHANGES_A_DAY / DAY * NODES * change_watch
     rows.append(row(
         "platform", "calls on an ordinary day",
-        "one watch of 30 s a balancer; agents read only at a start",
+        "one watch a balancer, of 30 s at this size; agents read only at a start",
         f"{change_watch:.2f} watch calls a balancer a change",
         f"{waiting_watches:.0f}/s waiting and {changes:.0f}/s for changes",
         "2,000 reads/s", waiting_watches + changes <= LIMITS["reads"]))
